--- /dev/null
+++ b/admission.go
@@ -0,0 +1,89 @@
+// Admission: how many calls the first tier has out, which requests may fill that window, and what is shed
+// when not all can.
+
+package woodpick
+
+import "math"
+
+// full says that the node has as many calls out as the tiers below answer in good time. Only the
+// first tier holds back: a call refused further down wastes what was done above it. A client's repeat,
+// whose aim is mostly over, must leave half of the room to first tries, or repeats feed a jam.
+func (b *Balancer) full(r *request) bool {
+	calls := float64(b.inFlight)
+	if r.repeat {
+		calls *= 2
+	}
+	return len(b.ready) == 0 || b.set.Tier == 0 && calls >= b.window*b.standing(r)
+}
+
+// standing is the part of the window that a request may fill, by its value against the others': the more
+// is shed, the more room is kept for what is worth most. A hold alone is too short to wait for that, for
+// at a node of few calls seldom two requests wait at once. No class loses more than half of the window,
+// so that none starves.
+func (b *Balancer) standing(r *request) float64 {
+	var sum, n float64
+	for _, c := range b.order {
+		sum += c.arrive * b.value(&request{class: c})
+		n += c.arrive
+	}
+	return min(2, max(0.5, 1+b.shed*(b.value(r)*n/max(sum, 1e-9)-1)))
+}
+
+// fairServers is how many servers there are for each copy of this tier.
+func (b *Balancer) fairServers() float64 {
+	return float64(len(b.ready)) / float64(max(1, b.set.Balancers))
+}
+
+// target is the latency that admission steers to, a little under half way in ratio between a class's
+// latency when there is room and its aim: work that fills much of the aim by itself is no crowd, and
+// work that fills little of it waits in long queues, which choke servers, well before its aim is near.
+// The more is shed, the surer it is that some servers choke: then leaner is better, but never so lean
+// that only an empty server meets it, or the shedding would keep itself up.
+func (c *class) target(shed float64) float64 {
+	lean := (1 - leanness*shed) * targetShare * math.Sqrt(c.base*float64(c.Aim))
+	return min(float64(c.Aim), max(targetLeast*c.base, lean))
+}
+
+// steer moves the window so that latencies stay at their target: crowded servers choke and stay slow,
+// so the crowd must wait or be refused here. Slow answers shrink it and good ones open it alike, up to
+// a multiple of the calls out: growing only while nearly full, it would sink by chance at a node whose
+// few calls seldom fill it.
+func (b *Balancer) steer(r *request, e Outcome) {
+	tells := e.Ending == Success || e.Ending == TimedOut || e.Ending == Overloaded || e.Ending == Unreachable
+	if b.set.Tier > 0 || !tells {
+		return
+	}
+	over := float64(b.now-r.attempts[e.Attempt].sent) / r.class.target(b.shed)
+	if e.Ending != Success {
+		over = max(over, 2)
+	}
+	// A small window moves by up to one call a round of answers, or a node of many would take a day to
+	// open it.
+	step := max(windowGain, 1/b.window) * (1 - min(over, 2))
+	if step < 0 || b.window < windowSlack*(b.busy+1) {
+		b.window += step
+	}
+	b.window = max(b.window, 1, windowFloor*b.fairServers())
+}
+
+// value is what an answer in a class adds to the result for the time it takes, so that shedding
+// hits what is worth least; the class served worst counts extra, so none starves.
+func (b *Balancer) value(r *request) float64 {
+	c := r.class
+	var total float64
+	worst := c
+	for _, k := range b.order {
+		total += k.Worth * k.arrive
+		if k.arrive > 1 && k.serve*worst.arrive < worst.serve*k.arrive {
+			worst = k
+		}
+	}
+	v := b.set.WholeWeight * c.Worth / max(total, 1e-9)
+	if worst == c {
+		v += b.set.ClassWeight / max(c.arrive, 1e-9)
+	}
+	if r.repeat { // its aim runs from the client's first try and is mostly over
+		v *= c.LateShare
+	}
+	return v / c.mean
+}
--- a/woodpick.go
+++ b/woodpick.go
@@ -1,6 +1,6 @@
 // Package woodpick decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
-// actions it returns. This file is the whole interface; every decision is in policy.go.
+// actions it returns. This file is the whole interface; every decision is in policy.go and admission.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
