Draw each node's pool from its own zone first

Design: the pool is still a run of each group of the shared order, from the node's place on; the run now takes the servers of the node's own zone before the others. A pool wider than the zone takes in the rest, and the whole list stays the way out, so small fleets hardly change.

A node's own calls come too seldom for `silent` to tell before discovery does. At fault: fitPool, which cut the run whatever the zone.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -342,8 +342,10 @@
 
 // profile mirrors the settings object on the wire.
 type profile struct {
-	Balancers int `json:"balancers"`
-	Index     int `json:"me"`
+	Balancers int      `json:"balancers"`
+	Index     int      `json:"me"`
+	Zone      string   `json:"zone"`
+	Zones     []string `json:"localities"`
 	Blend     struct {
 		Whole      float64 `json:"whole"`
 		WorstClass float64 `json:"worst-class"`
@@ -390,7 +392,7 @@
 		return woodpick.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := woodpick.Settings{
-		Balancers: p.Balancers, Index: p.Index, Tier: p.Tier,
+		Balancers: p.Balancers, Index: p.Index, Tier: p.Tier, Zone: p.Zone, Zones: len(p.Zones),
 		WholeWeight: p.Blend.Whole, ClassWeight: p.Blend.WorstClass,
 		MaxAttempts:  p.Limits.MaxAttempts,
 		MayCancel:    p.Limits.Cancelling,
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -70,8 +70,9 @@
 }
 
 func TestUnknownEffectIsUnsafe(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1}`))
-	if err != nil || s.Classes[0].Effect != woodpick.Unsafe || s.Classes[1].Effect != woodpick.Safe {
+	s, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1,
+		"zone":"east","localities":["north","east"]}`))
+	if err != nil || s.Zone != "east" || s.Zones != 2 || s.Classes[0].Effect != woodpick.Unsafe || s.Classes[1].Effect != woodpick.Safe {
 		t.Fatalf("got %+v, %v", s, err)
 	}
 }
--- a/policy.go
+++ b/policy.go
@@ -528,6 +528,10 @@
 // node of many meets each server too seldom to tell the slow and the silent, and connections grow
 // with nodes times servers. A busy node takes a wider pool: its counts tell more, and its traffic
 // would be too much for a few. Only halving shrinks it, so that it keeps still.
+//
+// The run takes the servers of the node's own zone first. When a zone is lost, discovery tells seconds
+// later, and until then each node would have to learn of each of its servers by calls that hang, at
+// every tier that a request passes. It hurts where a zone's nodes ask for more than its servers carry.
 func (b *Balancer) fitPool() {
 	n := float64(len(b.ready))
 	want := max(poolLeast, poolPerCall*b.busy, poolOverlap*b.fairServers())
@@ -537,16 +541,24 @@
 	b.width = int(math.Ceil(min(1.25*want, n)))
 	part := func(group []*server) []*server {
 		size := int(math.Ceil(float64(b.width) * float64(len(group)) / max(n, 1)))
-		start := b.set.Index * len(group) / max(1, b.set.Balancers)
-		var run []*server
-		for i := range min(size, len(group)) {
-			run = append(run, group[(start+i)%len(group)])
-		}
-		return run
+		return slices.Concat(b.run(group, true), b.run(group, false))[:min(size, len(group))]
 	}
 	b.pool = groups{part(b.whole.left), part(b.whole.right)}
 }
 
+// run lists a group's servers of the node's own zone, or the others, from the node's place on. The copies
+// of one zone may be numbered in a row: a place that goes round as often as there are zones spreads them.
+func (b *Balancer) run(group []*server, own bool) []*server {
+	var some []*server
+	for _, s := range group {
+		if (s.Zone == b.set.Zone) == own {
+			some = append(some, s)
+		}
+	}
+	start := b.set.Index * max(1, b.set.Zones) * len(some) / max(1, b.set.Balancers) % max(1, len(some))
+	return slices.Concat(some[start:], some[:start])
+}
+
 // ---- Eligibility ----
 
 // chooseFrom picks among those servers that a request may go to: in its scope, not tried by it, fit,
--- a/policy_test.go
+++ b/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -289,6 +290,7 @@
 		"Worth":             func(s *Settings) { s.Classes[0].Worth = math.Inf(1) },
 		"WholeWeight":       func(s *Settings) { s.WholeWeight = math.NaN() },
 		"Index":             func(s *Settings) { s.Index = -1 },
+		"Zones":             func(s *Settings) { s.Zones = -1 },
 		"ColdFrom":          func(s *Settings) { s.ColdFrom = 1.5 },
 		"WarmAfter":         func(s *Settings) { s.WarmAfter = -1 },
 		"LateShare":         func(s *Settings) { s.Classes[0].LateShare = 2 },
@@ -500,6 +502,82 @@
 	}
 }
 
+// zoned lists servers of two zones, each in both groups.
+func zoned(n int) []Server {
+	l := servers(n)
+	for i := range l {
+		l[i].Zone = []string{"north", "north", "east", "east"}[i%4]
+	}
+	return l
+}
+
+// inZone sets a copy's zone, by its number: the copies of a zone are numbered in a row.
+func inZone(s *Settings, index, copies int) {
+	s.Balancers, s.Index, s.Zones = copies, index, 2
+	s.Zone = []string{"north", "east"}[2*index/copies]
+}
+
+// A zone that is lost is on the list for seconds more. Copies that call their own zone lose nothing by
+// it; were their pools drawn from both, each copy of each tier would have to learn of each server that
+// is lost by a call that hangs.
+func TestFleetServesOnWhileAnotherZoneIsSilent(t *testing.T) {
+	const copies, rounds = 16, 40
+	hung, sent := 0, 0
+	for i := copies / 2; i < copies; i++ { // those of the zone that is left
+		b := newBalancer(t, func(s *Settings) { inZone(s, i, copies); s.Tier = 1 })
+		b.Handle(msec, ServerList{Full: true, Servers: zoned(40)})
+		for k := range rounds {
+			id, now := fmt.Sprint(k), time.Duration(k+1)*100*msec
+			for _, s := range sends(b.Handle(now, Request{ID: id, Class: "pay", Deadline: now + time.Second})) {
+				sent++
+				if b.servers[s.Server].Zone == "north" {
+					hung++
+					continue
+				}
+				settle(b, now+20*msec, id, s, Success)
+			}
+		}
+	}
+	if sent != copies/2*rounds || hung > 0 {
+		t.Errorf("%d of %d calls went to a zone that says nothing, want none of %d", hung, sent, copies/2*rounds)
+	}
+}
+
+// The pools of a zone's copies cover its servers evenly, however the copies are numbered, and take in the
+// other zone when they are wider than their own.
+func TestPoolsPreferTheirZoneAndCoverItEvenly(t *testing.T) {
+	for _, numbered := range []string{"in a row", "in turns"} {
+		count := map[string]int{}
+		const copies = 60
+		for i := range copies {
+			b := newBalancer(t, func(s *Settings) {
+				inZone(s, i, copies)
+				if s.Tier = 1; numbered == "in turns" {
+					s.Zone = []string{"north", "east"}[i%2]
+				}
+			})
+			b.Handle(msec, ServerList{Full: true, Servers: zoned(40)})
+			b.fitPool()
+			for _, s := range slices.Concat(b.pool.left, b.pool.right) {
+				if count[s.ID]++; s.Zone != b.set.Zone {
+					t.Fatalf("copy %d in %s has %s of %s in a pool of %d", i, b.set.Zone, s.ID, s.Zone, b.width)
+				}
+			}
+			b.busy = 100
+			if b.fitPool(); len(b.pool.left)+len(b.pool.right) != 40 {
+				t.Fatalf("a copy's widest pool has %d and %d servers", len(b.pool.left), len(b.pool.right))
+			}
+		}
+		least, most := copies, 0
+		for _, s := range servers(40) {
+			least, most = min(least, count[s.ID]), max(most, count[s.ID])
+		}
+		if least < 4 || most-least > 4 {
+			t.Errorf("numbered %s: servers are in %d to %d pools", numbered, least, most)
+		}
+	}
+}
+
 // What answers first must not look fast against a guess of the latency, and then win every draw.
 func TestFirstAnswersDoNotLookFast(t *testing.T) {
 	b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
--- a/woodpick.go
+++ b/woodpick.go
@@ -53,6 +53,8 @@
 	Balancers   int     // copies that place calls on this tier
 	Index       int     // this copy's number among them, from 0
 	Tier        int     // the tier sent to, 0 being the clients' first
+	Zone        string  // this copy's zone
+	Zones       int     // how many zones there are
 	WholeWeight float64 // how much the whole of the worth counts when shedding
 	ClassWeight float64 // how much the worst-served class counts when shedding
 
@@ -99,6 +101,7 @@
 		name       string
 		value, max float64
 	}{{"Tier", float64(s.Tier), math.MaxInt32}, {"Index", float64(s.Index), math.MaxInt32},
+		{"Zones", float64(s.Zones), 1000},
 		{"Balancers", float64(s.Balancers), math.MaxInt32}, {"MaxAttempts", float64(s.MaxAttempts), math.MaxInt32},
 		{"WholeWeight", s.WholeWeight, math.MaxFloat64}, {"ClassWeight", s.ClassWeight, math.MaxFloat64},
 		{"ColdFrom", s.ColdFrom, 1}, {"AskWithin", float64(s.AskWithin), math.MaxInt64},
