Give cold servers light requests by their hints, in place of thinned draws

Design: the module now hears a request's hinted effort (X-Cost-Hint; effort-ms on the simulator's wire). A cold server still takes one own call at a time; where effort is hinted, it takes the requests of up to six times its warmth, of the mean effort, in place of a draw thinned to its warmth. Without hints nothing changes. A hint that can't be read is none.

At fault: warmEnough, which thinned by count and knew nothing of a request's size.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -177,7 +177,7 @@
 	case r.ContentLength > 0 && c.method == http.MethodGet:
 		return &rejected{http.StatusBadRequest, "GET has no body"}
 	}
-	c.class, c.deadline = name, wait
+	c.class, c.deadline, c.effort = name, wait, parseHint(r.Header.Get("X-Cost-Hint"))
 	return nil
 }
 
@@ -197,6 +197,15 @@
 	return time.Duration(math.Round(s * 1e9)), nil
 }
 
+// parseHint reads X-Cost-Hint, in microseconds. What can't be read is no hint: it is only advice.
+func parseHint(text string) time.Duration {
+	us, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(us > 0 && us <= float64(maxWait.Microseconds())) {
+		return 0
+	}
+	return time.Duration(us * 1e3)
+}
+
 // write gives the answer to the caller.
 func (f *frontend) write(w http.ResponseWriter, a answer) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -32,7 +32,8 @@
 	contentType                    string
 	body                           []byte
 	at, deadline                   time.Duration
-	answer                         chan answer // takes one answer without blocking
+	effort                         time.Duration // hinted; 0: not told
+	answer                         chan answer   // takes one answer without blocking
 }
 
 // answer is the one final answer to a call.
@@ -190,7 +191,8 @@
 		}
 		l.stats.Requests++
 		l.pending[e.call.id] = &pending{call: e.call}
-		l.handle(e.call.at, woodpick.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline})
+		l.handle(e.call.at, woodpick.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline,
+			Effort: e.call.effort})
 	case callerGone:
 		l.lag(e.at)
 		if p := l.pending[e.call.id]; p != nil && p.call == e.call && !p.answered {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -149,8 +149,11 @@
 			f.fail(0, "is no mode")
 		}
 	case "job_in":
-		m.Event = woodpick.Request{ID: f.text(0), Deadline: f.ms(1), Class: f.text(3),
-			Repeat: f.optNum(4)&2 != 0}
+		r := woodpick.Request{ID: f.text(0), Deadline: f.ms(1), Class: f.text(3), Repeat: f.optNum(4)&2 != 0}
+		if f.optNum(4)&1 != 0 {
+			r.Effort = f.optMS(6)
+		}
+		m.Event = r
 	case "ring":
 		m.Event = woodpick.Timer{Token: f.text(0)}
 	case "outcome":
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -40,7 +40,7 @@
 		{Kind: Event, Instance: 3, Event: woodpick.ServerList{Full: true, Cached: true,
 			Servers: []woodpick.Server{{ID: "s:1", Zone: "z", Cell: 4, Size: 1.5, Boot: 6100500 * time.Microsecond}}}},
 		{Kind: Event, Instance: 3, Event: woodpick.Request{ID: "id", Class: "get", Repeat: true,
-			Deadline: 8652250 * time.Microsecond}},
+			Deadline: 8652250 * time.Microsecond, Effort: 12 * time.Millisecond}},
 		{Kind: Event, Instance: 3, Event: woodpick.Outcome{ID: "id", Server: "s:1", Ended: true,
 			Latency: 18500 * time.Microsecond, Load: &woodpick.Load{Busy: 3, Service: -1}}},
 		{Kind: End, Instance: 3},
--- a/policy.go
+++ b/policy.go
@@ -20,6 +20,7 @@
 const (
 	alpha       = 0.5    // share of the list in the left group
 	memory      = 0.06   // weight of a new sample in pooled averages (about 16 samples)
+	lightPart   = 6.0    // times its warmth, of the mean effort, that a cold server takes at most
 	ownMemory   = 0.25   // weight of a new sample in a single server's averages
 	chance      = 0.08   // a run of bad endings likelier than this by the share of them among all is luck
 	tailSpread  = 3.0    // deviations above the mean at which a wait counts as overlong
@@ -72,6 +73,8 @@
 
 	errors    float64 // share of bad endings, overlong answers among them, of all attempts
 	lastOK    time.Duration
+	effort    float64 // hinted on average, in ns
+	hints     float64 // heard so far
 	tokens    float64 // retry budget
 	window    float64 // own calls admitted at once (first tier)
 	inFlight  int
@@ -130,7 +133,8 @@
 	deadline  time.Duration
 	attempts  []*attempt
 	out       int
-	repeat    bool // by the client, where clients say so
+	effort    float64 // hinted, in ns; 0: not told
+	repeat    bool    // by the client, where clients say so
 	held      bool
 	answered  bool
 	streaming bool
@@ -301,7 +305,12 @@
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat}
+	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
+		effort: max(0, float64(e.Effort))}
+	if r.effort > 0 {
+		b.hints++
+		b.effort += max(memory, 1/b.hints) * (r.effort - b.effort)
+	}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -608,7 +617,7 @@
 	for _, s := range group {
 		switch {
 		case s.out || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
-		case b.warmEnough(s):
+		case b.warmEnough(s, r):
 			warm = append(warm, s)
 		case s.calls == 0 && len(r.attempts) == 0:
 			idle = append(idle, s)
@@ -766,11 +775,21 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*grown
 }
 
-// warmEnough thins the draw of a cold server to its share of a warm one's, and keeps it to one
-// own call at a time: many nodes that each send a little would push it over together.
-func (b *Balancer) warmEnough(s *server) bool {
+// warmEnough keeps a cold server to one own call at a time, many nodes that each send a little would push
+// it over together, and to its share of a warm one's work. Where effort is hinted that share is made of the
+// lighter requests: a heavy one takes a cold server many times as long and is late, and what is worth most
+// is lost, while a light one has time to spare. Without hints the draw is thinned to the share.
+func (b *Balancer) warmEnough(s *server, r *request) bool {
 	w := b.warmth(s)
-	return w == 1 || (s.calls == 0 && b.rng.Float64() < w)
+	switch {
+	case w == 1:
+		return true
+	case s.calls > 0:
+		return false
+	case r.effort > 0:
+		return r.effort <= lightPart*w*b.effort
+	}
+	return b.rng.Float64() < w
 }
 
 // ---- Further attempts ----
--- a/policy_test.go
+++ b/policy_test.go
@@ -712,6 +712,26 @@
 	}
 }
 
+// A cold server takes a heavy request many times as long as a warm one; a light one has time to spare.
+func TestColdServerGetsNoHeavyRequests(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
+	list := servers(4)
+	list[1].Boot = time.Second
+	b.Handle(2*time.Second, ServerList{Full: true, Servers: list}) // warmth 0.28
+	got := map[time.Duration]int{}
+	for i := range 400 {
+		effort := []time.Duration{10 * msec, 100 * msec}[i%2]
+		id, now := fmt.Sprint(i), b.now+10*time.Microsecond
+		s := sends(b.Handle(now, Request{ID: id, Class: "pay", Deadline: now + time.Second, Effort: effort}))[0]
+		if settle(b, now, id, s, Success); s.Server == "s01" && i >= 20 {
+			got[effort]++
+		}
+	}
+	if got[100*msec] > 0 || got[10*msec] < 20 {
+		t.Errorf("the cold server got %d heavy and %d light requests", got[100*msec], got[10*msec])
+	}
+}
+
 // Sizes that a host took from elsewhere may be odd: nobody is left without a draw for it.
 func TestOddSizesDraw(t *testing.T) {
 	list := servers(4)
--- a/rules_test.go
+++ b/rules_test.go
@@ -461,6 +461,66 @@
 	}
 }
 
+// Where effort is hinted, a cold server's share is made of light requests. All copies together stay within
+// its budget of work, and yet give it more than half of what it can do while the rest is busy.
+func TestColdServerIsUsedWithinItsBudget(t *testing.T) {
+	set := testSettings()
+	const capacity, mean = 50.0, 20 * msec // of a warm server: a second's work of 50 requests of mean effort
+	for _, copies := range []int{12, 100} {
+		set.Tier, set.Balancers = 1, copies
+		list := servers(6)
+		list[2].Boot = time.Second
+		var bs []*Balancer
+		for i := range copies {
+			set.Index = i
+			b, err := New(set, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Handle(0, ServerList{Full: true, Servers: list})
+			bs = append(bs, b)
+		}
+		rng := rand.New(rand.NewPCG(9, 9))
+		type taken struct {
+			at   time.Duration
+			work float64 // of the mean
+		}
+		var cold []taken
+		early, all := 0.0, 0.0
+		for i := range int(0.75 * 6 * capacity * 12) {
+			now := time.Second + time.Duration(float64(i)/(0.75*6*capacity)*float64(time.Second))
+			work := max(0.01, rng.ExpFloat64())
+			b, id := bs[rng.IntN(copies)], fmt.Sprint(i)
+			s := sends(b.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Second,
+				Effort: time.Duration(work * float64(mean))}))[0]
+			b.Handle(now+time.Duration(work*float64(mean)), Outcome{ID: id, Server: s.Server, Ending: Success, Ended: true})
+			if now > 3*time.Second && now < 6*time.Second { // warmth 0.36 to 0.6, a fair share 0.06 to 0.1
+				all += work
+				if s.Server == "s02" {
+					early += work
+				}
+			}
+			if s.Server == "s02" {
+				cold = append(cold, taken{now, work})
+			}
+		}
+		worst := 0.0
+		for i := range cold {
+			sum := 0.0
+			for _, c := range cold[i:] {
+				if c.at < cold[i].at+fallFor {
+					sum += c.work
+				}
+			}
+			grown := float64(cold[i].at-time.Second) / float64(set.WarmAfter)
+			worst = max(worst, sum/(fallMultiple*capacity*min(1, set.ColdFrom+(1-set.ColdFrom)*grown)*fallFor.Seconds()))
+		}
+		if worst > 1 || early < all/10 {
+			t.Errorf("%d copies: %.2f of the budget, %.3f of the work", copies, worst, early/all)
+		}
+	}
+}
+
 func FuzzHandle(f *testing.F) {
 	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
 	f.Add([]byte{1, 1, 1, 0, 2, 2, 2, 250, 3, 17, 5, 5})
--- a/woodpick.go
+++ b/woodpick.go
@@ -173,6 +173,7 @@
 		ID       string
 		Class    string
 		Deadline time.Duration // clock time
+		Effort   time.Duration // work expected of it, by the client's hint; 0: not told
 		Repeat   bool          // the client marked it as a repeat
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
