Ask the list, the caller and the key's window at a request's first byte

backend.try dialled for up to the connect time-out, and begin then looked at the socket alone, so a connection that came up late carried a request to a server that had been told as draining, gone or started anew meanwhile (past 250 ms where the time-out or an accept queue is longer), for a caller that had left where attempts may not be called off, and past the window in which a keyed request's repeats are discarded (the module keeps two ticks of it; a dial takes more).

begin now asks under the lock that also guards the list: what may not begin ends as Void, so as never run, and the connection is kept for others if its server still serves. Send carries the window's end (Before), which repeatUntil computes for the module's own check as well.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -31,6 +31,7 @@
 	n              int
 	to             host
 	sent, deadline time.Duration
+	before         time.Duration // it must not begin later: the servers discard its repeats no longer; 0: no such time
 }
 
 // host is one life of a server at one address. A server that starts anew, or another at an address that
@@ -99,7 +100,7 @@
 // send some requests again by itself, and does not tell whether the last byte was written.
 type backend struct {
 	clock   clock
-	dialer  net.Dialer
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	idleFor time.Duration
 	most    int // connections open or being opened
 
@@ -111,8 +112,8 @@
 }
 
 func newBackend(cfg Config, c clock, most int) *backend {
-	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{},
-		dialer: net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1},
+	dialer := net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}
+	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{}, dial: dialer.DialContext,
 		// Closed a little before the server does, or a request might cross its close and end as a reset.
 		idleFor: cfg.ConnIdle - cfg.ConnIdle/10}
 }
@@ -156,10 +157,16 @@
 			b.giveUp(c, waiter)
 			return result{ending: woodpick.Void}
 		}
-		if b.begin(c, waiter) {
+		may := b.begin(ctx, c, waiter, a)
+		if may == mayWrite {
 			break
 		}
-		if fresh {
+		switch {
+		case errors.Is(a.ctx.Err(), context.Canceled):
+			return result{ending: woodpick.Withdrawn}
+		case may == mayNot:
+			return result{ending: woodpick.Void}
+		case fresh || ctx.Err() != nil:
 			return result{ending: woodpick.Unreachable}
 		}
 	}
@@ -220,7 +227,7 @@
 	if c != nil || err != nil {
 		return c, false, err
 	}
-	nc, err := b.dialer.DialContext(ctx, "tcp", to.endpoint)
+	nc, err := b.dial(ctx, "tcp", to.endpoint)
 	if err != nil {
 		b.mu.Lock()
 		b.open--
@@ -243,20 +250,49 @@
 	return c
 }
 
+// permission says whether the first byte of a request may be written.
+type permission int
+
+const (
+	mayWrite permission = iota
+	another             // not on this connection, which is closed
+	mayNot              // not at all: this attempt has become pointless or harmful while it waited
+)
+
 // begin has a request written next, unless the server has closed the connection or said something
-// meanwhile, which can be no answer to it: then the connection is closed, and another will do.
-func (b *backend) begin(c *conn, waiter chan reply) bool {
+// meanwhile, which can be no answer to it: then the connection is closed, and another will do. The list,
+// the caller and the clock may have moved on while the connection came up, so this is where they are
+// asked: nothing is begun at a server that drains, is gone or started anew, for a caller that left, or
+// when the servers discard no repeats any more. The connection itself is kept for others then.
+func (b *backend) begin(ctx context.Context, c *conn, waiter chan reply, a *attempt) permission {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if c.waiter == waiter && !spokenOrClosed(c.Conn) {
-		c.stage = writing
-		return true
+	if c.waiter != waiter {
+		return another
 	}
-	if c.waiter == waiter {
+	overdue := a.before > 0 && b.clock.now() >= a.before
+	switch {
+	case spokenOrClosed(c.Conn):
 		c.waiter = nil
 		b.drop(c)
+		return another
+	case ctx.Err() != nil || a.call.gone.Load() || overdue || !b.serves(c.to):
+		c.waiter, c.since = nil, b.clock.now()
+		b.rest(c)
+		if ctx.Err() != nil {
+			return another // the time is over, or the attempt was called off
+		}
+		return mayNot
 	}
-	return false
+	c.stage = writing
+	return mayWrite
+}
+
+// serves says that the list has a server as ready, in the same life and at the same address. The caller
+// holds mu.
+func (b *backend) serves(h host) bool {
+	t, listed := b.seen[h.server]
+	return listed && t.State == woodpick.Ready && t.host() == h
 }
 
 // take returns an idle connection, or nil once there is room to open one. When short, idle
@@ -339,7 +375,7 @@
 // rest keeps a connection for the next attempt, if its server is still the one that it was made to. The
 // caller holds mu.
 func (b *backend) rest(c *conn) {
-	if t, listed := b.seen[c.to.server]; !listed || t.State != woodpick.Ready || t.host() != c.to {
+	if !b.serves(c.to) {
 		b.drop(c)
 		return
 	}
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -138,7 +138,7 @@
 		defer c.Close()
 	}
 	b := testBackend(10)
-	b.dialer.Timeout = 50 * time.Millisecond
+	b.dial = (&net.Dialer{Timeout: 50 * time.Millisecond}).DialContext
 	if r := run(t, b, testAttempt(b, addr)); r.ending != woodpick.Unreachable || b.open != 0 {
 		t.Errorf("ending %d, %d open", r.ending, b.open)
 	}
@@ -244,8 +244,9 @@
 	b := testBackend(10)
 	waiter := make(chan reply, 1)
 	b.open = 1
-	c := b.watch(nc, testHost(b, "127.0.0.1:1"), waiter)
-	if b.begin(c, waiter) || b.open != 0 {
+	a := testAttempt(b, "127.0.0.1:1")
+	c := b.watch(nc, a.to, waiter)
+	if b.begin(a.ctx, c, waiter, a) != another || b.open != 0 {
 		t.Errorf("a request is written to a closed connection, or it is still counted: %d open", b.open)
 	}
 }
--- /dev/null
+++ b/internal/node/edge_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"woodpick"
+)
+
+// heldDial holds each connection back once it is up, until it is let through: as one that comes up late.
+// It does not heed its context, so that whatever happened meanwhile is found at the first byte only.
+type heldDial struct{ up, through chan struct{} }
+
+func holdDials(b *backend) heldDial {
+	h := heldDial{make(chan struct{}, 10), make(chan struct{})}
+	b.dial = func(_ context.Context, network, address string) (net.Conn, error) {
+		nc, err := net.Dial(network, address)
+		h.up <- struct{}{}
+		<-h.through
+		return nc, err
+	}
+	return h
+}
+
+// sink accepts one connection and tells all that came on it once it is closed.
+func sink(t *testing.T) (addr string, came <-chan string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	all := make(chan string, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		text, _ := io.ReadAll(c)
+		all <- string(text)
+	}()
+	return ln.Addr().String(), all
+}
+
+// What happens while a connection comes up is heeded at the first byte.
+func TestNothingIsBegunThatBecamePointlessWhileTheConnectionCameUp(t *testing.T) {
+	now := func(b *backend, h host, change func(*target)) {
+		e := target{Server: woodpick.Server{ID: h.server, State: woodpick.Ready, Boot: h.boot}, endpoint: h.endpoint}
+		change(&e)
+		b.servers([]target{e}, false)
+	}
+	for _, c := range []struct {
+		name string
+		do   func(*backend, *attempt)
+		want woodpick.Ending
+	}{
+		{"drains", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.State = woodpick.Draining }) }, woodpick.Void},
+		{"gone", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.State = woodpick.Gone }) }, woodpick.Void},
+		{"left out of a whole list", func(b *backend, a *attempt) { b.servers(nil, true) }, woodpick.Void},
+		{"started anew", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.Boot = time.Hour }) }, woodpick.Void},
+		{"moved", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.endpoint = "127.0.0.1:2" }) }, woodpick.Void},
+		{"its caller left", func(b *backend, a *attempt) { a.call.gone.Store(true) }, woodpick.Void},
+		{"called off", func(b *backend, a *attempt) { a.cancel() }, woodpick.Withdrawn},
+		{"repeats are discarded no longer", func(b *backend, a *attempt) { a.before = b.clock.now() }, woodpick.Void},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, came := sink(t)
+			b := testBackend(10)
+			held := holdDials(b)
+			a := testAttempt(b, addr)
+			end := make(chan result, 1)
+			go func() { end <- b.run(a) }()
+			wait(t, held.up, "the connection")
+			c.do(b, a)
+			close(held.through)
+			if r := wait(t, end, "the attempt's end"); r.ending != c.want {
+				t.Errorf("ending %d, want %d", r.ending, c.want)
+			}
+			b.servers(nil, true) // closes what was kept
+			if text := wait(t, came, "the close"); text != "" {
+				t.Errorf("the server got %q", text)
+			}
+			if n := b.connections(); n != 0 {
+				t.Errorf("%d connections are open", n)
+			}
+		})
+	}
+}
+
+// A connection that came up for an attempt in vain serves the next one.
+func TestLateConnectionIsKeptForOthers(t *testing.T) {
+	s := newServer(t, echo)
+	b := testBackend(10)
+	held := holdDials(b)
+	a := testAttempt(b, s.addr())
+	end := make(chan result, 1)
+	go func() { end <- b.run(a) }()
+	wait(t, held.up, "the connection")
+	a.call.gone.Store(true)
+	close(held.through)
+	wait(t, end, "the attempt's end")
+	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || s.opened() != 1 || s.seen() != 1 {
+		t.Errorf("ending %d, %d connections, %d requests", r.ending, s.opened(), s.seen())
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -34,6 +34,7 @@
 	at, deadline                   time.Duration
 	effort                         time.Duration // hinted; 0: not told
 	answer                         chan answer   // takes one answer without blocking
+	gone                           atomic.Bool   // its caller has left: no byte of it is to be sent on any more
 }
 
 // answer is the one final answer to a call.
@@ -320,7 +321,7 @@
 	p := l.pending[s.ID]
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{ctx: ctx, cancel: cancel, call: p.call, n: len(p.attempts),
-		to: l.listed[s.Server].host(), sent: l.now, deadline: l.now + s.Timeout}
+		to: l.listed[s.Server].host(), sent: l.now, deadline: l.now + s.Timeout, before: s.Before}
 	p.attempts = append(p.attempts, a)
 	p.out++
 	l.stats.Sends++
--- a/policy.go
+++ b/policy.go
@@ -352,6 +352,7 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
+	before := b.repeatUntil(r)
 	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
 	if a.n == 0 {
 		b.shed -= memory / 4 * b.shed
@@ -363,7 +364,19 @@
 	s.open = append(s.open, a)
 	b.inFlight++
 	b.busy += memory * (float64(b.inFlight) - b.busy)
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick), Before: before})
+}
+
+// repeatUntil is when the servers stop discarding the repeats of what may have run; 0: nothing did, or
+// the class has no keys. It is asked before the send and, as a connection may come up late, by the host.
+func (b *Balancer) repeatUntil(r *request) (until time.Duration) {
+	for _, a := range r.attempts {
+		end := a.sent + r.class.Window - 2*b.set.Tick
+		if r.class.Effect == Keyed && !a.unsent && (until == 0 || end < until) {
+			until = max(end, 1)
+		}
+	}
+	return until
 }
 
 // patience is how long an attempt is waited for. A server that lets a call hang takes all the time that the
@@ -799,10 +812,11 @@
 	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
 		return false
 	}
-	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		last := a.sent + r.class.Window - 2*b.set.Tick
-		return !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= last)
-	})
+	if until := b.repeatUntil(r); until > 0 && b.now >= until {
+		return false
+	}
+	ran := func(a *attempt) bool { return !a.unsent }
+	return r.class.Effect != Unsafe || !slices.ContainsFunc(r.attempts, ran)
 }
 
 // further decides what follows when no attempt is left out: another within the budget and with
--- a/woodpick.go
+++ b/woodpick.go
@@ -209,10 +209,12 @@
 type Action interface{ action() }
 
 type (
-	// Send starts the next attempt of a request (numbered from 0); it times out after Timeout.
+	// Send starts the next attempt of a request (numbered from 0); it times out after Timeout. One that
+	// has not begun by the clock time Before (0: none) must not: it is then Void.
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration
+		Before     time.Duration
 	}
 	// Cancel stops waiting for an attempt; its Outcome still comes.
 	Cancel struct {
