Notice a caller's leaving behind bytes that came early, and never answer it 200

net/http watches for a caller's leaving by a read of one byte: any byte that comes before the answer ends that watch, so a caller that sent a stray byte and left was served on (leaving_test: its request reached the server after the close, held by the module or waiting for a connection). callerConn.Read now reads on while a request is with the module, keeps up to 4 KiB for later, and so sees the close or the reset.

ServeHTTP returned without a word when its context ended, which net/http turns into an empty 200: to a caller that had only ended its sending, an answer that no server made. It says failed instead. A context that ends by the time-out for reading, just after the request was read, is no leaving: the answer is awaited. The mark on the call is set before the loop hears of it, so that a connection that comes up in between finds it.

Not noticed: a caller that sends over 4 KiB ahead of its answer and then leaves.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -84,29 +84,96 @@
 	leaving  bool
 	cut      bool      // leaving, whatever still comes
 	deadline time.Time // as net/http wants it
+	waits    bool      // its request has been read whole and is not answered
+	ahead    []byte    // what came meanwhile, to be read once that is answered
+	left     bool      // its other side has closed or reset it
 
 	callers  *callers
 	activity // guarded by callers.mu
 }
 
+// maxAhead bounds what is read ahead of a caller that does not wait for its answer. Beyond it the caller's
+// leaving goes unnoticed.
+const maxAhead = 4 << 10
+
+// Read goes on reading while a request is with the module, whatever comes: net/http watches for the
+// caller's leaving by a read of one byte, which any byte that comes early would end.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.begun = true
-		if c.leaving && !c.cut {
-			c.leaving = false
-			c.Conn.SetReadDeadline(c.deadline)
+	if n := c.takeAhead(p); n > 0 {
+		return n, nil
+	}
+	for into := p; ; into = make([]byte, 512) {
+		n, err := c.Conn.Read(into)
+		switch c.came(into[:n], err) {
+		case passOn:
+			return n, err
+		case takeOut:
+			return c.takeAhead(p), nil
 		}
 	}
-	return n, err
 }
 
-// Write begins before the client can have sent its next request.
+// whereTo is what becomes of bytes that a caller sent.
+type whereTo int
+
+const (
+	passOn   whereTo = iota // to net/http
+	readMore                // they are kept, and the watch for the caller's leaving goes on
+	takeOut                 // they are kept behind others, and the first of all go to net/http
+)
+
+// came notes what a read brought.
+func (c *callerConn) came(p []byte, err error) whereTo {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p) == 0 {
+		var late net.Error
+		c.left = c.left || err != nil && !(errors.As(err, &late) && late.Timeout())
+		return passOn
+	}
+	c.begun = true
+	if c.leaving && !c.cut {
+		c.leaving = false
+		c.Conn.SetReadDeadline(c.deadline)
+	}
+	if !c.waits && len(c.ahead) == 0 {
+		return passOn
+	}
+	if c.ahead = append(c.ahead, p...); c.waits && len(c.ahead) < maxAhead {
+		return readMore
+	}
+	return takeOut
+}
+
+// takeAhead takes bytes that were read ahead.
+func (c *callerConn) takeAhead(p []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(p, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return n
+}
+
+// wait tells whether a request has been read whole, so that what comes belongs to none or to the next.
+func (c *callerConn) wait(is bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waits = is
+}
+
+// hasLeft says that the caller closed its connection or reset it.
+func (c *callerConn) hasLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
+// Write begins before the client can have sent its next request, unless that has been read ahead.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.begun = false
+	c.begun = len(c.ahead) > 0
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -88,7 +88,11 @@
 		f.health(w, r)
 		return
 	}
+	conn := connOf(r.Context())
+	conn.wait(r.ContentLength == 0)
+	defer conn.wait(false)
 	c, err := f.readCall(w, r)
+	conn.wait(true)
 	if err != nil {
 		status := http.StatusBadRequest
 		var no *rejected
@@ -103,17 +107,29 @@
 	if !f.closing.Load() {
 		w.Header().Del("Connection")
 	}
-	if !f.callers.open(connOf(r.Context())) {
+	if !f.callers.open(conn) {
 		f.write(w, answer{kind: refused, retryAfter: f.advice})
 		return
 	}
 	f.post(arrived{c})
+	f.write(w, f.await(r.Context(), conn, c))
+}
+
+// await waits for the answer to a call, or for its caller to leave. The mark on the call is there before
+// the loop hears of it, for a connection to a server may come up just then. To a caller that has only
+// stopped sending, anything but an answer would look like one.
+func (f *frontend) await(ctx context.Context, conn *callerConn, c *call) answer {
 	select {
 	case a := <-c.answer:
-		f.write(w, a)
-	case <-r.Context().Done():
-		f.post(callerGone{call: c, at: f.clock.now()})
+		return a
+	case <-ctx.Done():
+	}
+	if !conn.hasLeft() { // the time to read the request ran out just after it was read
+		return <-c.answer
 	}
+	c.gone.Store(true)
+	f.post(callerGone{call: c, at: f.clock.now()})
+	return answer{kind: failed}
 }
 
 // rejected is a request that can't be used: it is answered without a look at any server.
