--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -69,6 +69,7 @@
 	}
 	listNews   struct{ list list }
 	listFailed struct{}
+	listLate   struct{} // discovery says nothing: the list that the node last had must do
 	lastCall   struct{} // the node ends: what is unanswered is answered now
 )
 
@@ -125,7 +126,8 @@
 	alarms  alarms
 	listed  map[string]target
 	over    bool        // after lastCall
-	ready   atomic.Bool // a listed server may be sent to
+	heard   bool        // the list is as new as it can be had
+	ready   atomic.Bool // heard, and a listed server may be sent to
 	stats   stats
 }
 
@@ -214,6 +216,9 @@
 		l.takeList(e.list, false)
 	case listFailed:
 		l.handle(l.clock.now(), woodpick.ListFailed{})
+	case listLate:
+		l.heard = true
+		l.tellReady()
 	}
 }
 
@@ -260,6 +265,8 @@
 // discovery has moved, is not passed on where lists are pushed: the module takes each list for a change
 // and cuts its pool anew, so telling it of nothing would move requests and open connections for nothing.
 func (l *loop) takeList(news list, cached bool) {
+	l.heard = l.heard || !cached || !l.push
+	defer l.tellReady()
 	if !cached && l.push && l.holds(news) {
 		return
 	}
@@ -275,13 +282,18 @@
 			l.listed[t.ID] = t
 		}
 	}
+	l.servers(news.targets, news.full)
+	l.handle(l.clock.now(), e)
+}
+
+// tellReady notes whether callers may be sent here. A new process whose list is old would send to servers
+// that began to drain while it was down, and what the agent holds counts as told from the first moment.
+func (l *loop) tellReady() {
 	ready := false
 	for _, t := range l.listed {
 		ready = ready || t.State == woodpick.Ready
 	}
-	l.servers(news.targets, news.full)
-	l.handle(l.clock.now(), e)
-	l.ready.Store(ready)
+	l.ready.Store(ready && l.heard)
 }
 
 // holds says that a list tells nothing new.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,11 @@
 
 // New puts a node together and begins to listen. Nothing is served before Run.
 func New(cfg Config, log *slog.Logger) (*Node, error) {
-	balancer, err := woodpick.New(cfg.Settings, cfg.Seed)
+	set := cfg.Settings
+	// Its waits between calls for the list are parts of this; no call may wait past the time when a change
+	// counts as told whether heard or not.
+	set.AskWithin = min(set.AskWithin, toldLatest)
+	balancer, err := woodpick.New(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
