Let a connection rest 50 ms after an answer, so that a late copy answers nobody else

After a good answer its connection rested at once and, being the last used, was taken first: a second copy that came after begin had looked was read as the next request's answer, and its client got another's body; a copy of a refusal could even 'prove' that a request never ran. A connection now carries nothing for 50 ms after an answer, the slack of the protocol's limits; what comes then closes it. A copy that is later still can't be told from an answer: nothing in it names its request.

And a refusal with X-Not-Run that is itself spoilt (cut, no or a wrong length) no longer counts as proof that the request never ran: spoilt answers count as attempts that may have run. Both tests fail without the mend.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -18,6 +19,13 @@
 	"woodpick"
 )
 
+// restFor is how long a connection rests after an answer before it carries another request. A second copy
+// of the answer may come some milliseconds late, and nothing in it tells that it is no answer to the next
+// request: that one's client would get another's body. One that comes during the rest closes the connection.
+// It is the slack of the protocol's limits; a copy that is later still can't be told from an answer.
+// The price is connections: as many more to a server as a node's calls end there during the rest.
+const restFor = 50 * time.Millisecond
+
 const (
 	maxBody   = 64 << 10 // the longest body of a request or an answer
 	maxAnswer = 16 << 10 // all of an answer but its body: heads, 1xx before them, chunks' sizes
@@ -64,8 +72,9 @@
 	br     *bufio.Reader // over in; empty between answers
 	waiter chan reply    // the attempt on it takes one reply here; nil while idle. Guarded by backend.mu
 	since  time.Duration
-	stage  stage // guarded by backend.mu
-	dead   bool  // guarded by backend.mu
+	rested time.Duration // when it may carry another request
+	stage  stage         // guarded by backend.mu
+	dead   bool          // guarded by backend.mu
 }
 
 // stage is how far the request on a connection is.
@@ -96,12 +105,13 @@
 	return n, err
 }
 
-// backend runs attempts over pools of kept connections, the last used first. http.Transport would
+// backend runs attempts over pools of kept connections, the last used first of those that have rested. http.Transport would
 // send some requests again by itself, and does not tell whether the last byte was written.
 type backend struct {
 	clock   clock
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	idleFor time.Duration
+	restFor time.Duration
 	most    int // connections open or being opened
 
 	mu   sync.Mutex
@@ -114,6 +124,7 @@
 func newBackend(cfg Config, c clock, most int) *backend {
 	dialer := net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}
 	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{}, dial: dialer.DialContext,
+		restFor: min(restFor, cfg.ConnIdle/4),
 		// Closed a little before the server does, or a request might cross its close and end as a reset.
 		idleFor: cfg.ConnIdle - cfg.ConnIdle/10}
 }
@@ -221,7 +232,7 @@
 	return text.Bytes(), nil
 }
 
-// connect takes the idle connection used last, or opens a fresh one.
+// connect takes a rested idle connection, or opens a fresh one.
 func (b *backend) connect(ctx context.Context, to host, waiter chan reply) (c *conn, fresh bool, err error) {
 	c, err = b.take(to, waiter)
 	if c != nil || err != nil {
@@ -295,16 +306,18 @@
 	return listed && t.State == woodpick.Ready && t.host() == h
 }
 
-// take returns an idle connection, or nil once there is room to open one. When short, idle
-// connections to other servers are closed first.
+// take returns the idle connection used last of those that have rested, or nil once there is room to open
+// one. When short, the connection idle for longest is closed first.
 func (b *backend) take(to host, waiter chan reply) (*conn, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if free := b.idle[to]; len(free) > 0 {
-		c := free[len(free)-1]
-		b.idle[to] = free[:len(free)-1]
-		c.waiter, c.stage = waiter, resting
-		return c, nil
+	free, now := b.idle[to], b.clock.now()
+	for i := len(free) - 1; i >= 0; i-- {
+		if c := free[i]; now >= c.rested {
+			b.idle[to] = slices.Delete(free, i, i+1)
+			c.waiter, c.stage = waiter, resting
+			return c, nil
+		}
 	}
 	if b.open >= b.most {
 		var oldest *conn
@@ -401,7 +414,7 @@
 		waiter := c.waiter
 		c.waiter = nil
 		if waiter != nil && keep {
-			c.since = r.at
+			c.since, c.rested = r.at, r.at+b.restFor
 			if c.stage == written { // an answer that came early must not let another request into this one
 				b.rest(c)
 			}
@@ -455,8 +468,8 @@
 	case ok:
 		r.ending, r.body, r.contentType = woodpick.Success, body, resp.Header.Get("Content-Type")
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Not-Run") == "1":
-		r.ending = woodpick.Overloaded
+		resp.Header.Get("X-Not-Run") == "1" && framed && err == nil:
+		r.ending = woodpick.Overloaded // only a whole answer proves that it never ran
 	default:
 		r.ending = woodpick.Failure
 	}
--- a/internal/node/backend_test.go
+++ b/internal/node/backend_test.go
@@ -15,7 +15,12 @@
 	"woodpick"
 )
 
-func testBackend(most int) *backend { return newBackend(testConfig(""), newClock(), most) }
+// testBackend has its connections rest for no time.
+func testBackend(most int) *backend {
+	b := newBackend(testConfig(""), newClock(), most)
+	b.restFor = 0
+	return b
+}
 
 // testHost has the backend know a server that is named by its endpoint.
 func testHost(b *backend, endpoint string) host {
@@ -56,6 +61,10 @@
 		{"503 that may have run", "503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", woodpick.Failure, true},
 		{"504 that may have run", "504 Gateway Timeout\r\nX-Not-Run: 0\r\nContent-Length: 0\r\n\r\n", woodpick.Failure, true},
 		{"500 with the mark", "500 Internal Server Error\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", woodpick.Failure, true},
+		{"turned away, the answer cut", "503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\ncut", woodpick.Failure, false},
+		{"turned away without a length", "503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\nno", woodpick.Failure, false},
+		{"turned away with 3 GB", "503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 3000000000\r\n\r\nand so on", woodpick.Failure, false},
+		{"turned away in spoilt chunks", "503 Service Unavailable\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", woodpick.Failure, false},
 		{"reset", "-", woodpick.Broken, false},
 		{"cut head", "200 OK\r\nContent-Le", woodpick.Broken, false},
 		{"cut body", "200 OK\r\nContent-Length: 9\r\n\r\nok", woodpick.Broken, false},
@@ -318,3 +327,43 @@
 		t.Errorf("kept for %v", full.idleFor)
 	}
 }
+
+// A second copy of an answer is no answer to the next request, however late during the rest it comes: that
+// request goes on another connection, and the one on which the copy comes is closed.
+func TestLateSecondAnswerIsNobodys(t *testing.T) {
+	conns := make(chan net.Conn, 10)
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		conns <- c
+		return echo(c, r, body)
+	})
+	b := newBackend(testConfig(""), newClock(), 10)
+	if b.restFor <= 0 || b.restFor >= b.idleFor {
+		t.Fatalf("connections rest for %v and stay for %v", b.restFor, b.idleFor)
+	}
+	b.restFor = 100 * limit
+	send := func(id string) result {
+		a := testAttempt(b, s.addr())
+		a.call.id = id
+		return run(t, b, a)
+	}
+	if r := send("one"); string(r.body) != "for one" {
+		t.Fatalf("got %q", r.body)
+	}
+	first := wait(t, conns, "the first connection")
+	if r := send("two"); string(r.body) != "for two" || s.opened() != 2 {
+		t.Errorf("got %q on %d connections", r.body, s.opened())
+	}
+	reply200(first, "for one")
+	until(t, "the close", func() bool { return b.connections() == 1 })
+	b.mu.Lock()
+	for _, c := range b.idle[testHostOf(s)] {
+		c.rested = 0
+	}
+	b.mu.Unlock()
+	if r := send("three"); string(r.body) != "for three" || s.opened() != 2 {
+		t.Errorf("got %q on %d connections", r.body, s.opened())
+	}
+}
+
+// testHostOf is a server as testHost names it.
+func testHostOf(s *fakeServer) host { return host{server: s.addr(), endpoint: s.addr()} }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -301,7 +301,7 @@
 		got <- seen{r, body}
 		return reply200(c, answerBody)
 	})
-	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), nil)
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) { n.backend.restFor = 0 })
 	c := dial(t, n)
 	long := strings.Repeat("b\r\n\x00", maxBody/4)
 	for i, target := range []string{"/keyed/a%2fB?q=%20%41&&x", `/keyed/"odd"|{};,`, "/keyed/", "/keyed//x/../y?"} {
