End a node by its deadlines, with its queue accepted and last answers by the module

Now the last answers go first; accepting ends 500 ms after SIGTERM (new connections come for 400 ms), the end comes 100 ms before the kill (was 150). - drain: ln.Close() had the kernel reset what nobody had accepted yet, with whole requests on it. The listener now takes whoever waits and closes once nobody has come for 20 ms, and drain waits for that. - letQuietGo closed a connection that had been accepted that moment, its request still on the way. - lastCall: the node said refused or failed by whether an attempt had been made, where one that never ran may be refused and counts so, and told all to come back in 1 s whatever the settings say. The module decides now (Closing), by the same rule as ever, and answers what comes later at once. The advice for want of descriptors keeps to the settings too.

Tests: the order of ends for deadlines of 20 ms to 60 s, requests whole in the queue at the close, answers at the last call, a fresh connection; the first, second and last fail without their mends.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -6,8 +6,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -232,18 +234,43 @@
 // callerListener makes callerConns.
 type callerListener struct {
 	net.Listener
-	callers *callers
+	callers  *callers
+	shutting atomic.Bool
+}
+
+// deadlines are what a listener needs to be shut without a loss.
+type deadlines interface{ SetDeadline(time.Time) error }
+
+// shutWait is for how long nobody may be found waiting before the listener is closed.
+const shutWait = 20 * time.Millisecond
+
+// shut has whoever waits to be accepted accepted, and then closes: the kernel resets those that are left,
+// and a request may be whole on them already.
+func (l *callerListener) shut() {
+	l.shutting.Store(true)
+	if d, ok := l.Listener.(deadlines); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
+		l.Listener.Close()
+	}
 }
 
 // Accept never lets the node run out of descriptors, for then net/http would accept nobody for a while:
 // beyond the hard limit whoever came last is closed unheard.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l *callerListener) Accept() (net.Conn, error) {
 	for {
+		last := l.shutting.Load()
+		if last { // a deadline in the past would keep it from looking
+			l.Listener.(deadlines).SetDeadline(time.Now().Add(shutWait))
+		}
 		c, err := l.Listener.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && last:
+			l.Listener.Close()
+			return nil, net.ErrClosed
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			continue
+		case err != nil:
 			return nil, err // as it is: net/http looks at its kind
-		}
-		if l.callers.full() {
+		case l.callers.full():
 			c.Close()
 			continue
 		}
@@ -405,13 +432,14 @@
 	}
 }
 
-// letQuietGo closes the callers' idle connections, and those that have sent nothing yet. It returns how
-// many of all are left.
+// letQuietGo closes the callers' idle connections, and those that have sent nothing for a while: whoever has
+// just been accepted has its request on the way. It returns how many of all are left.
 func (s *callers) letQuietGo() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.now()
 	for c := range s.conns {
-		if c.phase == idle || c.phase == silent && !c.hasBegun() {
+		if c.phase == idle || c.phase == silent && !c.hasBegun() && now-c.since >= s.grace.silent {
 			s.letGo(c)
 		}
 	}
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// However short the deadlines are, a node that ends accepts for as long as new connections come, serves,
+// gives its last answers and is gone, in this order and before it would be killed.
+func TestEndingFitsTheDeadlines(t *testing.T) {
+	for _, deadline := range []time.Duration{20, 50, 100, 150, 200, 300, 500, 900, 1500, 3000, 6000, 60000} {
+		for _, part := range []time.Duration{100, 10, 2, 1} {
+			cfg := testConfig("")
+			for i := range cfg.Settings.Classes {
+				cfg.Settings.Classes[i].Deadline = deadline * time.Millisecond / time.Duration(i+1)
+				cfg.Settings.Classes[i].Aim = max(1, cfg.Settings.Classes[i].Deadline/part)
+			}
+			e, most := endingOf(cfg), drainMost(cfg)
+			kill := min(deadline*time.Millisecond, 3*time.Second) + 700*time.Millisecond
+			if !(e.accept > 400*time.Millisecond && e.accept <= e.serve && e.serve < e.last && e.last < most && most < kill) {
+				t.Errorf("deadline %v, aim 1/%d: %+v, all over at %v, killed at %v", deadline*time.Millisecond, part, e, most, kill)
+			}
+		}
+	}
+}
+
+// gatedListener accepts nobody until it is opened: what comes waits in the kernel's queue.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+	shut chan struct{} // gets one when a deadline is set
+}
+
+func (l gatedListener) SetDeadline(at time.Time) error {
+	err := l.TCPListener.SetDeadline(at)
+	select {
+	case l.shut <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// Requests that wait whole in the listener's queue when it is shut are accepted and served.
+func TestQueuedConnectionsAreAcceptedBeforeTheListenerCloses(t *testing.T) {
+	s := newServer(t, echo)
+	gate, shut := make(chan struct{}), make(chan struct{}, 1)
+	n, stop := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.ending, n.drainMost = ending{serve: time.Millisecond, last: limit}, 2*limit
+		n.listener = gatedListener{n.listener.(*net.TCPListener), gate, shut}
+	})
+	var queued []*caller
+	for i := range 5 {
+		c := dial(t, n)
+		c.get(fmt.Sprint("queued-", i))
+		queued = append(queued, c)
+	}
+	end := make(chan error, 1)
+	go func() { end <- stop() }()
+	wait(t, shut, "the listener being shut")
+	close(gate)
+	for i, c := range queued {
+		c.want(t, 200, fmt.Sprint("for queued-", i))
+	}
+	if err := wait(t, end, "the node's end"); err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", n.Addr()); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
+
+// At the last call each request gets the answer that its class and what became of it allow, and so does one
+// that comes after it; when to come back is told only where clients take it.
+func TestLastCallKeepsToTheClass(t *testing.T) {
+	for _, advice := range []time.Duration{0, time.Second} {
+		got := make(chan struct{}, 10)
+		s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+			got <- struct{}{}
+			c.Read(make([]byte, 1)) // until the node closes
+			return false
+		})
+		cfg := testConfig(whole(entry("s1", s.addr(), "in_service")))
+		cfg.Settings.MaxRetryAfter = advice
+		n, stop := startNode(t, cfg, func(n *Node) {
+			n.ending, n.drainMost = ending{last: limit}, 2*limit
+		})
+		unsafe, safe, after := dial(t, n), dial(t, n), dial(t, n)
+		unsafe.send("POST", "/note/k", "unsafe", "x", "60")
+		wait(t, got, "the unsafe attempt")
+		safe.get("safe")
+		wait(t, got, "the safe attempt")
+		l, err := parseList([]byte(`{"rev":2,"all":true,"targets":[]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.loop.post(listNews{l})
+		held := dial(t, n)
+		held.send("POST", "/note/k", "held", "x", "60")
+		until(t, "it to be with the module", func() bool {
+			n.frontend.callers.mu.Lock()
+			defer n.frontend.callers.mu.Unlock()
+			return n.frontend.callers.opened == 3
+		})
+		after.get("before") // its answer keeps the order: the held one is with the module by then
+		until(t, "it to be with the module", func() bool {
+			n.frontend.callers.mu.Lock()
+			defer n.frontend.callers.mu.Unlock()
+			return n.frontend.callers.opened == 4
+		})
+		n.loop.post(lastCall{})
+		for _, c := range []struct {
+			name   string
+			from   *caller
+			status int
+		}{{"unsafe and in flight", unsafe, 502}, {"safe and in flight", safe, 503}, {"held", held, 503}, {"held and safe", after, 503}} {
+			r, _ := c.from.answer(t)
+			if r.StatusCode != c.status || (r.Header.Get("Retry-After") != "") != (advice > 0 && c.status == 503) {
+				t.Errorf("%s: got %d, Retry-After %q", c.name, r.StatusCode, r.Header.Get("Retry-After"))
+			}
+		}
+		after.send("POST", "/note/k", "after", "x", "60")
+		after.want(t, 503, "")
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A caller whose connection was accepted a moment ago has its request on the way: it is not let go unheard.
+func TestFreshConnectionIsHeardThoughTheNodeEnds(t *testing.T) {
+	n, err := New(testConfig(whole()), testLog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.listener.Close()
+	one, other := net.Pipe()
+	defer other.Close()
+	defer one.Close()
+	s := n.frontend.callers
+	c := &callerConn{Conn: one, callers: s}
+	s.grace.silent = limit
+	s.track(c, http.StateNew)
+	if s.letQuietGo() != 1 || c.going {
+		t.Error("let go at once")
+	}
+	s.grace.silent = 0
+	if s.letQuietGo(); !c.going {
+		t.Error("kept for good")
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -25,8 +25,7 @@
 	maxHeader     = 16 << 10
 	maxID         = 128
 	maxWait       = time.Hour
-	deadlineSlack = 2                      // times the class's deadline that X-Deadline may be
-	quietGrace    = 300 * time.Millisecond // after the last connection was accepted
+	deadlineSlack = 2 // times the class's deadline that X-Deadline may be
 	drainStep     = 20 * time.Millisecond
 )
 
@@ -39,14 +38,14 @@
 	draining atomic.Bool // unready
 	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
-	advice   time.Duration // when to come back after a refusal for want of descriptors
+	advice   time.Duration // when to come back after a refusal for want of descriptors; 0: clients take none
 
 	callers *callers
 }
 
 func newFrontend(cfg Config, c clock, callers *callers, post func(event), ready func() bool, log *slog.Logger) *frontend {
 	f := &frontend{clock: c, post: post, ready: ready, callers: callers, classes: map[string]woodpick.Class{},
-		advice: max(cfg.Settings.Tick, time.Millisecond)}
+		advice: min(cfg.Settings.MaxRetryAfter, max(cfg.Settings.Tick, time.Millisecond))}
 	for _, class := range cfg.Settings.Classes {
 		f.classes[class.Name] = class
 	}
@@ -259,12 +258,19 @@
 // then each answer closes its connection. It returns once all are gone, or with an error when ctx ends.
 // http.Server.Shutdown would wait for seconds on connections that never sent a request, past SIGKILL,
 // and close idle ones under a request just read.
-func (f *frontend) drain(ctx context.Context, ln net.Listener, e ending) error {
+func (f *frontend) drain(ctx context.Context, ln *callerListener, served <-chan error, e ending) error {
 	begin := f.clock.now()
 	f.draining.Store(true)
 	sleep(ctx, e.accept)
-	ln.Close()
-	for serve := max(e.serve, e.accept+quietGrace); f.clock.now()-begin < serve && f.callers.held() > 0; {
+	ln.shut()
+	select {
+	case err := <-served:
+		if !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+	case <-ctx.Done():
+	}
+	for ctx.Err() == nil && f.clock.now()-begin < e.serve && f.callers.held() > 0 {
 		sleep(ctx, drainStep)
 	}
 	f.closing.Store(true)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -125,7 +125,6 @@
 	pending map[string]*pending
 	alarms  alarms
 	listed  map[string]target
-	over    bool        // after lastCall
 	heard   bool        // the list is as new as it can be had
 	ready   atomic.Bool // heard, and a listed server may be sent to
 	stats   stats
@@ -182,11 +181,6 @@
 	switch e := e.(type) {
 	case arrived:
 		l.lag(e.call.at)
-		if l.over {
-			l.stats.Refused++
-			e.call.answer <- answer{kind: refused, retryAfter: time.Second}
-			return
-		}
 		if l.pending[e.call.id] != nil {
 			// The module ignores a second request with an id that it knows, so nobody would answer.
 			e.call.answer <- answer{kind: duplicate}
@@ -208,10 +202,7 @@
 		l.lag(e.result.at)
 		l.end(e.attempt, e.result)
 	case lastCall:
-		l.over = true
-		for _, p := range l.pending {
-			l.giveUp(p)
-		}
+		l.handle(l.clock.now(), woodpick.Closing{})
 	case listNews:
 		l.takeList(e.list, false)
 	case listFailed:
@@ -222,19 +213,6 @@
 	}
 }
 
-// giveUp answers a call that the node will not be there for, as its caller leaving would end it.
-func (l *loop) giveUp(p *pending) {
-	if p.answered {
-		return
-	}
-	if len(p.attempts) == 0 {
-		l.finish(p.call.id, answer{kind: refused, retryAfter: time.Second})
-	} else {
-		l.finish(p.call.id, answer{kind: failed})
-	}
-	l.handle(l.clock.now(), woodpick.ClientGone{ID: p.call.id})
-}
-
 // end passes on how an attempt ended. The first success is the caller's answer.
 func (l *loop) end(a *attempt, r result) {
 	p := l.pending[a.call.id]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -14,13 +13,14 @@
 	"woodpick"
 )
 
-// How a node ends: it accepts for a while after it was told to, and is done before it would be killed,
-// which is the longest deadline, killCap at most, and killAfter later.
+// How a node ends, as the protocol has it: new connections come for up to 400 ms more, and it is killed no
+// sooner than the longest deadline, killCap at most, and killAfter later.
 const (
-	drainAccept = 600 * time.Millisecond
+	drainAccept = 500 * time.Millisecond // those 400 ms, and the slack of the protocol's limits twice
+	drainQuiet  = 100 * time.Millisecond // from then on callers are served on, for the last to be heard
 	killCap     = 3 * time.Second
 	killAfter   = 700 * time.Millisecond
-	killMargin  = 150 * time.Millisecond
+	killMargin  = 100 * time.Millisecond // from the end to the kill
 	lastMargin  = 150 * time.Millisecond // from the last answers to the end
 )
 
@@ -34,14 +34,16 @@
 }
 
 // endingOf is how a node ends: it serves for as long as most answers, which take less than half of their
-// aim, come before the end. Callers that it lets go sooner would find no node at all.
+// aim, come before the end. Callers that it lets go sooner would find no node at all. Where deadlines are so
+// short that there is no time for all of that, the last answers go first.
 func endingOf(cfg Config) ending {
 	var aim time.Duration
 	for _, c := range cfg.Settings.Classes {
 		aim = max(aim, c.Aim)
 	}
 	last := drainMost(cfg) - lastMargin
-	return ending{accept: drainAccept, serve: max(drainAccept, last-aim/2), last: last}
+	serve := min(max(drainAccept+drainQuiet, last-aim/2), last-drainStep)
+	return ending{accept: min(drainAccept, serve), serve: serve, last: last}
 }
 
 // reserved descriptors are for the listener, discovery, the log, the runtime, and callers whose
@@ -148,7 +150,8 @@
 		go n.discovery.ask(inner)
 	}
 	gone := make(chan error, 1)
-	go func() { gone <- n.frontend.server.Serve(callerListener{n.listener, n.frontend.callers}) }()
+	ln := &callerListener{Listener: n.listener, callers: n.frontend.callers}
+	go func() { gone <- n.frontend.server.Serve(ln) }()
 	select {
 	case err := <-gone:
 		return fmt.Errorf("node: %w", err)
@@ -157,11 +160,8 @@
 	n.log.Info("draining")
 	limit, cancel := context.WithTimeout(inner, n.drainMost)
 	defer cancel()
-	if err := n.frontend.drain(limit, n.listener, n.ending); err != nil {
+	if err := n.frontend.drain(limit, ln, gone, n.ending); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
-	if err := <-gone; !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("node: %w", err)
-	}
 	return nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -840,7 +840,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { theirs.Close() })
-		c, err := callerListener{ln, f}.Accept()
+		c, err := (&callerListener{Listener: ln, callers: f}).Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -1072,3 +1072,5 @@
 		b.want(t, 200, fmt.Sprint("for held-", i))
 	}
 }
+
+func testLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
--- a/policy.go
+++ b/policy.go
@@ -79,6 +79,7 @@
 	window    float64 // own calls admitted at once (first tier)
 	inFlight  int
 	shed      float64 // share of requests answered without an attempt
+	closing   bool    // the host ends
 	subFails  int
 	subWanted time.Duration
 }
@@ -199,6 +200,11 @@
 		if r := b.requests[e.ID]; r != nil {
 			b.close(r)
 		}
+	case Closing:
+		b.closing = true
+		for _, r := range b.unanswered() {
+			b.answer(r)
+		}
 	case Timer:
 		b.takeTimer(e)
 	}
@@ -318,6 +324,10 @@
 		k.serve *= 0.99
 	}
 	c.arrive++
+	if b.closing {
+		b.answer(r)
+		return
+	}
 	b.place(r)
 }
 
@@ -861,6 +871,17 @@
 	b.close(r)
 }
 
+// unanswered lists the requests that are owed an answer, in an order that is the same each time.
+func (b *Balancer) unanswered() (list []*request) {
+	for _, r := range b.requests {
+		if !r.answered {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(p, q *request) int { return cmp.Compare(p.id, q.id) })
+	return list
+}
+
 // close ends a request and calls off what is still out for it.
 func (b *Balancer) close(r *request) {
 	if r.answered {
--- a/rules_test.go
+++ b/rules_test.go
@@ -261,6 +261,14 @@
 	for i := range steps {
 		now += set.Tick
 		if rng.IntN(700) == 0 { // a kill: everything held is void, and a fresh copy takes over
+			if rng.IntN(2) == 0 { // as a planned restart ends
+				give(Closing{})
+				for id, r := range b.requests {
+					if !r.answered {
+						t.Errorf("%s has no answer at the end", id)
+					}
+				}
+			}
 			out, timers = nil, nil
 			if b, err = New(set, seed+uint64(i)); err != nil {
 				t.Fatal(err)
--- a/woodpick.go
+++ b/woodpick.go
@@ -193,6 +193,8 @@
 	}
 	// ClientGone says that the client left; nothing more is owed.
 	ClientGone struct{ ID string }
+	// Closing says that the host ends: every request is answered now, and any that still comes at once.
+	Closing struct{}
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
 )
@@ -203,6 +205,7 @@
 func (Outcome) event()    {}
 func (Started) event()    {}
 func (ClientGone) event() {}
+func (Closing) event()    {}
 func (Timer) event()      {}
 
 // Action is something the host must do, in the order given: one of the types below.
