Take counts written with decimals, and spare a request that lies unread at the end

Counts are read as numbers and must be whole where they count. letGo asks the kernel as well as net/http whether a request has begun: closing over unread bytes is a reset, which its client may cross once only. Tests with other deployments' settings, and with bytes that nobody has read; both fail without the mends.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -200,11 +200,12 @@
 	return errors.ErrUnsupported
 }
 
-// letGo has the connection closed unless a request has begun on it.
+// letGo has the connection closed unless a request has begun on it, be it one that nobody has read yet: the
+// close would be a reset, and the client could ask only once more.
 func (c *callerConn) letGo() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.begun {
+	if !c.begun && !spokenOrClosed(c.Conn) {
 		c.leaving = true
 		c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -23,6 +23,33 @@
 	}
 }
 
+// Deployments differ in what their settings hold, and a count may be written with decimals.
+func TestOtherDeploymentsConfigsAreTaken(t *testing.T) {
+	for _, c := range [][2]string{
+		{`"sockets":1024`, `"sockets":1024.0`},
+		{`"max-attempts":4`, `"max-attempts":4.0,"second-copies":true,"cancelling":false,"retry-after":false`},
+		{`"tick-ms":5`, `"tick-ms":5,"balancers":3.0,"me":2.0,"tier":1.0,"tiers":["a","b"],"localities":[],"tenants":null`},
+		{`"zone":"chavara",`, `"zone":null,"registry-mode":"on_request","telemetry":{"via":"silent"},"family-info":{},`},
+		{`"effect":"read_like"`, `"effect":"idempotency_key","key-scope":"cell","window-ms":100,"aim-stretch":2`},
+		{`"effect":"read_like"`, `"effect":"something new","key-scope":"something new"`},
+		{`"known":{"rev":41,"all":true,"targets":[]}`, `"known":null`},
+		{`"settings":{`, `"something":{},"settings":{`},
+	} {
+		text := strings.Replace(goodConfig, c[0], c[1], 1)
+		cfg, err := ParseConfig([]byte(text))
+		if text == goodConfig || err != nil {
+			t.Errorf("%s: %v", c[1], err)
+			continue
+		}
+		cfg.Listen = "127.0.0.1:0"
+		if n, err := New(cfg, testLog()); err != nil {
+			t.Errorf("%s: %v", c[1], err)
+		} else {
+			n.listener.Close()
+		}
+	}
+}
+
 func TestBadConfigNamesTheField(t *testing.T) {
 	for _, c := range [][3]string{
 		{`"listen":"127.0.0.1:7070"`, `"listen":"nowhere"`, "listen"},
@@ -33,6 +60,10 @@
 		{`"settings":{`, `"other":{`, "settings"},
 		{`"conn-idle-ms":60000.0`, `"conn-idle-ms":0`, "conn-idle-ms"},
 		{`"connect-timeout-ms":250.0,`, ``, "connect-timeout-ms"},
+		{`"max-attempts":4`, `"max-attempts":4.5`, "MaxAttempts"},
+		{`"max-attempts":4`, `"max-attempts":1e300`, "MaxAttempts"},
+		{`"sockets":1024`, `"sockets":1e300`, "sockets"},
+		{`"tick-ms":5`, `"tick-ms":5,"balancers":-1`, "Balancers"},
 		{`"target-ms":500`, `"target-ms":-1`, "Aim"},
 		{`"name":"n3"`, `"name":3`, "name"},
 		{`{"name":"n3"`, `"name":"n3"`, "config"},
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -891,6 +891,46 @@
 	}
 }
 
+// A request that lies in the kernel unread counts as begun: a close would reset it.
+func TestLettingGoSparesWhatNobodyHasRead(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	theirs, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	f := newCallers(newClock(), 2, 10, func() int { return 1 })
+	nc, err := (&callerListener{Listener: ln, callers: f}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	c := nc.(*callerConn)
+	f.track(c, http.StateNew)
+	f.track(c, http.StateIdle)
+	io.WriteString(theirs, "GET")
+	until(t, "the bytes to arrive", func() bool { return spokenOrClosed(c.Conn) })
+	if f.letQuietGo(); c.going {
+		t.Error("let go with a request on it")
+	}
+	if text := make([]byte, 3); !readsWhole(c, text) || string(text) != "GET" {
+		t.Errorf("read %q", text)
+	}
+	c.Write([]byte("answer"))
+	if f.letQuietGo(); !c.going {
+		t.Error("not let go once it is answered")
+	}
+}
+
+func readsWhole(r io.Reader, p []byte) bool {
+	_, err := io.ReadFull(r, p)
+	return err == nil
+}
+
 // Whatever reaches a server has been read, so its caller must get the answer, however often idle
 // connections are let go meanwhile.
 func TestNothingReadIsLostWhileIdleConnectionsAreLetGo(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -345,8 +345,8 @@
 
 // profile mirrors the settings object on the wire.
 type profile struct {
-	Balancers int      `json:"balancers"`
-	Index     int      `json:"me"`
+	Balancers float64  `json:"balancers"`
+	Index     float64  `json:"me"`
 	Zone      string   `json:"zone"`
 	Zones     []string `json:"localities"`
 	Blend     struct {
@@ -365,7 +365,7 @@
 	} `json:"lanes"`
 	Limits struct {
 		Cancelling    bool    `json:"cancelling"`
-		MaxAttempts   int     `json:"max-attempts"`
+		MaxAttempts   float64 `json:"max-attempts"`
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		RetryAfter    bool    `json:"retry-after"`
 	} `json:"limits"`
@@ -376,7 +376,7 @@
 		WarmAfter float64 `json:"warm-after-ms"`
 	} `json:"rules"`
 	Tick float64 `json:"tick-ms"`
-	Tier int     `json:"tier"`
+	Tier float64 `json:"tier"`
 }
 
 var scopes = map[string]woodpick.Scope{
@@ -395,9 +395,9 @@
 		return woodpick.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := woodpick.Settings{
-		Balancers: p.Balancers, Index: p.Index, Tier: p.Tier, Zone: p.Zone, Zones: len(p.Zones),
+		Balancers: whole(p.Balancers), Index: whole(p.Index), Tier: whole(p.Tier), Zone: p.Zone, Zones: len(p.Zones),
 		WholeWeight: p.Blend.Whole, ClassWeight: p.Blend.WorstClass,
-		MaxAttempts:  p.Limits.MaxAttempts,
+		MaxAttempts:  whole(p.Limits.MaxAttempts),
 		MayCancel:    p.Limits.Cancelling,
 		AskDiscovery: p.Registry == "on_request", AskWithin: fromMS(p.Rules.AskWithin),
 		Tick: fromMS(p.Tick), ColdFrom: p.Rules.ColdFrom, WarmAfter: fromMS(p.Rules.WarmAfter),
@@ -413,6 +413,15 @@
 	return s, nil
 }
 
+// whole takes a number that counts something, however it is written: 2 or 2.0. What counts nothing is -1,
+// which is out of range everywhere.
+func whole(v float64) int {
+	if v != math.Trunc(v) || !(v >= 0 && v <= math.MaxInt32) {
+		return -1
+	}
+	return int(v)
+}
+
 // Encoder writes replies.
 type Encoder struct {
 	w        *bufio.Writer
