--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -151,3 +151,25 @@
 		t.Errorf("got %v", e)
 	}
 }
+
+// However long a deployment lets a node go without asking, news counts as told 6 s after the watch fell
+// silent: what the module waits between its calls is a part of that.
+func TestAskingWaitsNoLongerThanNewsMay(t *testing.T) {
+	for seed := range uint64(20) {
+		cfg := testConfig(whole())
+		cfg.Settings.AskDiscovery, cfg.Settings.AskWithin, cfg.Seed = true, time.Hour, seed
+		n, err := New(cfg, testLog())
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.listener.Close()
+		for range 6 { // the wait doubles with each failure
+			n.loop.take(listFailed{})
+		}
+		for _, a := range n.loop.alarms {
+			if left := n.loop.clock.until(a.at); left > toldLatest/4 {
+				t.Fatalf("seed %d: asks %v from now", seed, left)
+			}
+		}
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -728,6 +728,11 @@
 	end := make(chan error, 1)
 	go func() { end <- stop() }()
 	until(t, "it to be told", n.frontend.draining.Load)
+	for _, moved := range []string{"127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:2"} { // SIGHUP while it ends
+		cfg := n.cfg
+		cfg.Discovery = moved
+		n.Reload(cfg)
+	}
 	idle.get("during") // whoever has a connection is served on it for a while
 	idle.want(t, 200, "for during")
 	probe := dial(t, n)
