Send to nobody by the known list until the agent has been heard or stays silent

Readiness alone waited for the list; a caller that the front still sends to a node that died does not ask for it, and the known list had the module send at once, from a process's first moment, to servers that drain. TestNewsAtTheAgentsReturnNeedsNoTimeOut and TestNewProcessIsReadyOnceItHasHeardTheList fail without it. Tests without an agent take the known list at once.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -34,7 +34,15 @@
 	n, _ := startNode(t, cfg, func(n *Node) { n.discovery.hold, n.discovery.first = 100*limit, 100*limit })
 	wait(t, ag.asked, "the call that is lost")
 	wait(t, ag.asked, "a call beside it")
+	early := dial(t, n) // by a caller that does not ask whether the node is ready
+	early.get("early")
+	until(t, "it to be with the module", func() bool {
+		n.frontend.callers.mu.Lock()
+		defer n.frontend.callers.mu.Unlock()
+		return n.frontend.callers.opened == 1
+	})
 	ag.tell(false, `{"rev":%d,"all":true,"targets":[`+entry("s1", old.addr(), "terminating")+","+entry("s2", s.addr(), "in_service")+`]}`)
+	early.want(t, 200, "for early")
 	until(t, "readiness", func() bool { return isReady(t, n) })
 	c := dial(t, n)
 	for i := range 10 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -125,8 +125,9 @@
 	pending map[string]*pending
 	alarms  alarms
 	listed  map[string]target
+	known   list        // as the node last had it; of use only if discovery says nothing
 	heard   bool        // the list is as new as it can be had
-	ready   atomic.Bool // heard, and a listed server may be sent to
+	ready   atomic.Bool // a listed server may be sent to
 	stats   stats
 }
 
@@ -204,12 +205,14 @@
 	case lastCall:
 		l.handle(l.clock.now(), woodpick.Closing{})
 	case listNews:
+		if !e.list.full {
+			l.takeKnown()
+		}
 		l.takeList(e.list, false)
 	case listFailed:
 		l.handle(l.clock.now(), woodpick.ListFailed{})
 	case listLate:
-		l.heard = true
-		l.tellReady()
+		l.takeKnown()
 	}
 }
 
@@ -239,11 +242,20 @@
 	}
 }
 
+// takeKnown begins with the list that the node last had, unless a newer one has been heard. What the agent
+// holds counts as told from a process's first moment: until it is known, or can't be had, no server may be
+// sent to by an old list, and what callers ask for is held.
+func (l *loop) takeKnown() {
+	if !l.heard {
+		l.takeList(l.known, true)
+	}
+}
+
 // takeList keeps where the servers listen, and passes the list on. A list that changes nothing, as after
 // discovery has moved, is not passed on where lists are pushed: the module takes each list for a change
 // and cuts its pool anew, so telling it of nothing would move requests and open connections for nothing.
 func (l *loop) takeList(news list, cached bool) {
-	l.heard = l.heard || !cached || !l.push
+	l.heard = true
 	defer l.tellReady()
 	if !cached && l.push && l.holds(news) {
 		return
@@ -264,14 +276,13 @@
 	l.handle(l.clock.now(), e)
 }
 
-// tellReady notes whether callers may be sent here. A new process whose list is old would send to servers
-// that began to drain while it was down, and what the agent holds counts as told from the first moment.
+// tellReady notes whether callers may be sent here.
 func (l *loop) tellReady() {
 	ready := false
 	for _, t := range l.listed {
 		ready = ready || t.State == woodpick.Ready
 	}
-	l.ready.Store(ready && l.heard)
+	l.ready.Store(ready)
 }
 
 // holds says that a list tells nothing new.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,9 @@
 	}
 	n.discovery = newDiscovery(cfg, rev, l.post, log)
 	l.subscribe = n.discovery.subscribe
-	l.takeList(known, true)
+	if l.known = known; !n.push {
+		l.takeKnown() // the module asks for more
+	}
 	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -214,6 +214,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.discovery.first = 0 // the known list will do, where a test has no agent
 	if change != nil {
 		change(n)
 	}
@@ -622,6 +623,7 @@
 		t.Fatal(err)
 	}
 	defer n.listener.Close()
+	n.loop.take(listLate{})
 	told := 0
 	n.loop.servers = func([]target, bool) { told++ }
 	for i, c := range []struct {
