Keep what all copies send a cold server within the settings' limit

Cause: the module read cold-from and warm-after-ms and never fall-multiple or fall-ms. It thinned the draw of a cold server by its warmth, which holds only while enough warm servers carry the rest. The lines at fault: warmEnough, and narrow, which let a first try go to any idle cold server where no warm one was left.

Change: slowstart.go, a policy file of its own. Each copy keeps a credit for each cold server, in requests of mean work. It grows at the copy's part of what all copies may send in a window on average so that hardly any window is overfull (Chernoff's bound), with the number of copies and the list's length from the settings and the list, and capacity guessed from the good answers a second that warm servers of its pool bear; never faster than the cold server's share of the copy's own requests. What finds no credit is held and looked at again, and refused when holding makes no sense any more.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -374,6 +374,8 @@
 		AskWithin float64 `json:"ask-within-ms"`
 		ColdFrom  float64 `json:"cold-from"`
 		WarmAfter float64 `json:"warm-after-ms"`
+		Multiple  float64 `json:"fall-multiple"`
+		FallFor   float64 `json:"fall-ms"`
 	} `json:"rules"`
 	Tick float64 `json:"tick-ms"`
 	Tier float64 `json:"tier"`
@@ -401,6 +403,7 @@
 		MayCancel:    p.Limits.Cancelling,
 		AskDiscovery: p.Registry == "on_request", AskWithin: fromMS(p.Rules.AskWithin),
 		Tick: fromMS(p.Tick), ColdFrom: p.Rules.ColdFrom, WarmAfter: fromMS(p.Rules.WarmAfter),
+		FallMultiple: p.Rules.Multiple, FallFor: fromMS(p.Rules.FallFor),
 	}
 	if p.Limits.RetryAfter {
 		s.MaxRetryAfter = fromMS(p.Limits.MaxRetryAfter)
--- a/policy.go
+++ b/policy.go
@@ -1,8 +1,8 @@
-// Every decision of woodpick but admission, which is in admission.go. The interface (settings, events,
-// actions) is in woodpick.go.
+// Every decision of woodpick but admission, which is in admission.go, and slow start, which is in
+// slowstart.go. The interface (settings, events, actions) is in woodpick.go.
 //
 // Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
-// slow start, further attempts, answers.
+// further attempts, answers.
 
 package woodpick
 
@@ -20,7 +20,6 @@
 const (
 	alpha       = 0.5    // share of the list in the left group
 	memory      = 0.06   // weight of a new sample in pooled averages (about 16 samples)
-	lightPart   = 6.0    // times its warmth, of the mean effort, that a cold server takes at most
 	ownMemory   = 0.25   // weight of a new sample in a single server's averages
 	chance      = 0.08   // a run of bad endings likelier than this by the share of them among all is luck
 	tailSpread  = 3.0    // deviations above the mean at which a wait counts as overlong
@@ -78,8 +77,13 @@
 	tokens    float64 // retry budget
 	window    float64 // own calls admitted at once (first tier)
 	inFlight  int
-	shed      float64 // share of requests answered without an attempt
-	closing   bool    // the host ends
+	shed      float64       // share of requests answered without an attempt
+	closing   bool          // the host ends
+	warmBorne borne         // what warm servers bear
+	coldBorne borne         // and cold ones
+	pace      pace          // at which credit grows
+	interval  time.Duration // between requests on average
+	asked     time.Duration // when the last one came
 	subFails  int
 	subWanted time.Duration
 }
@@ -114,6 +118,8 @@
 	full     time.Duration // no more than room until then
 	refusals int           // in a row
 	out      bool          // ruled out for the request at hand
+	pooled   bool          // in this node's pool
+	credit   credit        // to send to it while it is cold
 	failing  map[*class]fading
 }
 
@@ -318,6 +324,8 @@
 		b.effort += max(memory, 1/b.hints) * (r.effort - b.effort)
 	}
 	b.requests[e.ID] = r
+	b.interval += time.Duration(memory * float64(min(b.now-b.asked, b.set.WarmAfter)-b.interval))
+	b.asked = b.now
 	b.backdate(r)
 	for _, k := range b.order {
 		k.arrive *= 0.99
@@ -370,6 +378,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b.unhold(r)
+	b.spend(s, r)
 	s.calls++
 	s.open = append(s.open, a)
 	b.inFlight++
@@ -425,7 +434,7 @@
 		r.held = true
 		b.held = append(b.held, r)
 	}
-	b.wakeAt(r, b.holdUntil(r))
+	b.wakeAt(r, min(b.holdUntil(r), b.creditAgain()))
 }
 
 func (b *Balancer) unhold(r *request) {
@@ -576,6 +585,13 @@
 		return slices.Concat(b.run(group, true), b.run(group, false))[:min(size, len(group))]
 	}
 	b.pool = groups{part(b.whole.left), part(b.whole.right)}
+	for _, s := range b.ready {
+		s.pooled = false
+	}
+	for _, s := range slices.Concat(b.pool.left, b.pool.right) {
+		s.pooled = true
+	}
+	b.pace.known = false
 }
 
 // run lists a group's servers of the node's own zone, or the others, from the node's place on. The copies
@@ -642,7 +658,7 @@
 		case s.out || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
 		case b.warmEnough(s, r):
 			warm = append(warm, s)
-		case s.calls == 0 && len(r.attempts) == 0:
+		case s.calls == 0 && len(r.attempts) == 0 && b.inCredit(s):
 			idle = append(idle, s)
 		}
 	}
@@ -749,6 +765,7 @@
 			c.base, late = c.mean, false
 		}
 		bad, s.refusals = late, 0
+		b.bear(s)
 	case Overloaded, Unreachable:
 		s.room = s.calls
 		s.full = b.now + time.Duration((0.5+b.rng.Float64())*ejection*c.mean)<<s.refusals
@@ -786,35 +803,6 @@
 	b.errors += memory * (1 - b.errors)
 }
 
-// ---- Slow start ----
-
-// warmth is the share of its capacity that a server surely has.
-func (b *Balancer) warmth(s *server) float64 {
-	age := b.now - s.Boot
-	if s.Boot <= 0 || age >= b.set.WarmAfter {
-		return 1
-	}
-	grown := max(0, float64(age)/float64(b.set.WarmAfter))
-	return b.set.ColdFrom + (1-b.set.ColdFrom)*grown
-}
-
-// warmEnough keeps a cold server to one own call at a time, many nodes that each send a little would push
-// it over together, and to its share of a warm one's work. Where effort is hinted that share is made of the
-// lighter requests: a heavy one takes a cold server many times as long and is late, and what is worth most
-// is lost, while a light one has time to spare. Without hints the draw is thinned to the share.
-func (b *Balancer) warmEnough(s *server, r *request) bool {
-	w := b.warmth(s)
-	switch {
-	case w == 1:
-		return true
-	case s.calls > 0:
-		return false
-	case r.effort > 0:
-		return r.effort <= lightPart*w*b.effort
-	}
-	return b.rng.Float64() < w
-}
-
 // ---- Further attempts ----
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
--- /dev/null
+++ b/ramp_test.go
@@ -0,0 +1,392 @@
+package woodpick
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// ramp is a fleet of copies in simulated time whose servers are partly replaced by cold ones. Servers are
+// alike: cores that each serve one call at a time, a queue before them, and a speed that grows from ColdFrom
+// to 1 over WarmAfter, as slowly as the settings allow. Some copies get several times the mean of the calls,
+// whose work is 0.5 to 1.5 times the mean.
+type ramp struct {
+	copies, servers, cold int
+	cores, room           int           // of a server: calls in work, and calls that it holds at most
+	work                  time.Duration // of a call on average
+	load                  float64       // of the capacity of the servers, all of them warm
+	set                   Settings
+	hints                 bool // calls tell their work
+	fresh                 bool // the copies start with the cold servers, and have seen nothing before
+	failing               int  // warm servers that fail all from the replacement on
+	seed                  uint64
+}
+
+// rampResult tells what became of a ramp. Worst is the most work that came to a cold server in a window,
+// against N + 2 x root of N + 2. Share is the part of the work that went to cold servers in the first half
+// of the ramp, against their part of the capacity then.
+type rampResult struct {
+	falls         int
+	worst, share  float64
+	served, asked int // from the replacement on
+}
+
+type rampServer struct {
+	Server
+	busy  int
+	queue []func()
+	taken []rampCall // while cold
+	down  bool
+}
+
+type rampCall struct {
+	at   time.Duration
+	work float64 // of the mean
+}
+
+type rampEvent struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type rampEvents []rampEvent
+
+func (q rampEvents) Len() int { return len(q) }
+func (q rampEvents) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q rampEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *rampEvents) Push(x any)   { *q = append(*q, x.(rampEvent)) }
+func (q *rampEvents) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// warmthAt is the share of its capacity that a server that started at boot has.
+func warmthAt(set Settings, boot, now time.Duration) float64 {
+	if boot == 0 {
+		return 1
+	}
+	return min(1, set.ColdFrom+(1-set.ColdFrom)*float64(now-boot)/float64(set.WarmAfter))
+}
+
+// fallBudget is what a server that started at boot may get in a window from now on, in calls of mean work.
+func (r ramp) fallBudget(boot, now time.Duration) float64 {
+	perSecond := float64(r.cores) / r.work.Seconds()
+	n := r.set.FallMultiple * perSecond * warmthAt(r.set, boot, now) * r.set.FallFor.Seconds()
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// play runs the fleet: some seconds with all servers warm, then the replacement, until all are warm again.
+// place, if not nil, is asked for the number of the server of each call in the modules' stead.
+func (r ramp) play(t testing.TB, place func() int) (res rampResult) {
+	const before = 8 * time.Second
+	rng := rand.New(rand.NewPCG(r.seed, 77))
+	var (
+		now    time.Duration
+		queue  rampEvents
+		count  int
+		copies []*Balancer
+		all    = map[string]*rampServer{}
+		names  = map[string]int{} // attempts of a request so far
+	)
+	in := func(d time.Duration, do func()) {
+		count++
+		heap.Push(&queue, rampEvent{now + d, count, do})
+	}
+	list := func(replaced bool) (l []Server) {
+		for i := range r.servers {
+			s := Server{ID: fmt.Sprintf("s%02d", i), Zone: "z", Size: 1}
+			if replaced && i < r.cold {
+				s.ID, s.Boot = fmt.Sprintf("t%02d", i), before // sorted apart from the old ones
+			}
+			if all[s.ID] == nil {
+				all[s.ID] = &rampServer{Server: s}
+			}
+			l = append(l, s)
+		}
+		return l
+	}
+	var tell func(b *Balancer, e Event)
+	coldWork, coldMost := 0.0, 0.0
+	begin := func(b *Balancer, req Request, work float64, name string, cancelled *bool) {
+		s, n := all[name], names[req.ID]
+		names[req.ID]++
+		sent := now
+		ended := false
+		end := func(e Ending) {
+			if ended {
+				return
+			}
+			ended = true
+			if e == Success && sent >= before {
+				res.served++
+			}
+			if b != nil {
+				tell(b, Outcome{ID: req.ID, Attempt: n, Server: name, Ending: e, Latency: now - sent, Ended: e == Success})
+			}
+		}
+		if half := before + r.set.WarmAfter/2; now >= before && now < half {
+			capacity, of := 0.0, 0.0
+			for _, o := range all {
+				w := warmthAt(r.set, o.Boot, now)
+				if o.Boot > 0 {
+					of += w
+				} else if !r.replaced(o.ID) {
+					capacity += w
+				}
+			}
+			coldMost += work * of / max(1e-9, of+capacity)
+			if s.Boot > 0 {
+				coldWork += work
+			}
+		}
+		if s.Boot > 0 && now < s.Boot+r.set.WarmAfter && !s.down {
+			s.taken = append(s.taken, rampCall{now, work})
+			sum := 0.0
+			for i := len(s.taken) - 1; i >= 0 && s.taken[i].at > now-r.set.FallFor; i-- {
+				sum += s.taken[i].work
+			}
+			from := max(s.Boot, now-r.set.FallFor)
+			if part := sum / r.fallBudget(s.Boot, from); part > res.worst {
+				res.worst = part
+			}
+			if sum > r.fallBudget(s.Boot, from) {
+				s.down = true
+				res.falls++
+			}
+		}
+		switch {
+		case s.down:
+			in(time.Millisecond, func() { end(Unreachable) })
+			return
+		case now >= before && s.Boot == 0 && r.bad(s.ID):
+			in(2*time.Millisecond, func() { end(Failure) })
+			return
+		case s.busy+len(s.queue) >= r.room:
+			in(2*time.Millisecond, func() { end(Overloaded) })
+			return
+		}
+		var run func()
+		run = func() {
+			took := time.Duration(work * float64(r.work) / warmthAt(r.set, s.Boot, now))
+			s.busy++
+			in(took, func() {
+				s.busy--
+				if len(s.queue) > 0 {
+					next := s.queue[0]
+					s.queue = s.queue[1:]
+					next()
+				}
+				end(Success)
+			})
+		}
+		waiting := func() {
+			if *cancelled || ended {
+				if len(s.queue) > 0 {
+					next := s.queue[0]
+					s.queue = s.queue[1:]
+					next()
+				}
+				return
+			}
+			run()
+		}
+		if s.busy < r.cores {
+			run()
+		} else {
+			s.queue = append(s.queue, waiting)
+		}
+		in(max(0, req.Deadline-now), func() { end(TimedOut) })
+	}
+	type open struct {
+		req  Request
+		work float64
+	}
+	requests := map[string]open{}
+	cancels := map[string]*bool{}
+	tell = func(b *Balancer, e Event) {
+		for _, a := range b.Handle(now, e) {
+			switch a := a.(type) {
+			case Send:
+				o := requests[a.ID]
+				off := false
+				cancels[fmt.Sprint(a.ID, "/", names[a.ID])] = &off
+				req := o.req
+				req.Deadline = min(req.Deadline, now+a.Timeout)
+				begin(b, req, o.work, a.Server, &off)
+			case Cancel:
+				if off := cancels[fmt.Sprint(a.ID, "/", a.Attempt)]; off != nil {
+					*off = true
+					id, n := a.ID, a.Attempt
+					in(0, func() { tell(b, Outcome{ID: id, Attempt: n, Ending: Withdrawn, Ended: true}) })
+				}
+			case Wake:
+				token := a.Token
+				in(max(0, a.At-now), func() { tell(b, Timer{Token: token}) })
+			}
+		}
+	}
+	weights, sum := make([]float64, r.copies), 0.0
+	for i := range weights {
+		weights[i] = 0.2 + rng.ExpFloat64() // some get several times the mean
+		sum += weights[i]
+	}
+	for i := range r.copies {
+		set := r.set
+		set.Balancers, set.Index = r.copies, i
+		b, err := New(set, r.seed<<16+uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		copies = append(copies, b)
+	}
+	if r.fresh {
+		now = before
+	}
+	for _, b := range copies {
+		tell(b, ServerList{Full: true, Servers: list(r.fresh)})
+	}
+	end := before + r.set.WarmAfter + 2*time.Second
+	rate := r.load * float64(r.servers*r.cores) / r.work.Seconds()
+	id := 0
+	var arrive func()
+	arrive = func() {
+		in(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), func() {
+			if now >= end {
+				return
+			}
+			id++
+			work := 0.5 + rng.Float64()
+			req := Request{ID: fmt.Sprint(id), Class: r.set.Classes[0].Name, Deadline: now + r.set.Classes[0].Deadline}
+			if r.hints {
+				req.Effort = time.Duration(work * float64(r.work))
+			}
+			if now >= before {
+				res.asked++
+			}
+			requests[req.ID] = open{req, work}
+			if place != nil {
+				off := false
+				begin(nil, req, work, list(now >= before)[place()].ID, &off)
+			} else {
+				at := rng.Float64() * sum
+				i := 0
+				for ; at >= weights[i]; i++ {
+					at -= weights[i]
+				}
+				tell(copies[i], req)
+			}
+			arrive()
+		})
+	}
+	arrive()
+	if !r.fresh {
+		in(before-now, func() {
+			for _, b := range copies {
+				tell(b, ServerList{Full: true, Servers: list(true)})
+			}
+		})
+	}
+	for len(queue) > 0 && queue[0].at <= end+r.set.Classes[0].Deadline {
+		e := heap.Pop(&queue).(rampEvent)
+		now = e.at
+		e.do()
+	}
+	res.share = coldWork / max(1e-9, coldMost)
+	return res
+}
+
+// replaced says that a warm server has left for a cold one.
+func (r ramp) replaced(id string) bool {
+	var i int
+	fmt.Sscanf(id[1:], "%d", &i)
+	return i < r.cold
+}
+
+// bad says that a server is one of the warm ones that fail.
+func (r ramp) bad(id string) bool {
+	var i int
+	fmt.Sscanf(id[1:], "%d", &i)
+	return i >= r.servers-r.failing
+}
+
+func rampSettings() Settings {
+	return Settings{Classes: []Class{{Name: "get", Effect: Safe, Scope: ScopeAll, Aim: 1200 * msec,
+		Deadline: 3 * time.Second, Worth: 1}},
+		Tier: 1, WholeWeight: 0.6, ClassWeight: 0.3, MaxAttempts: 6, MayCancel: true, Tick: 5 * msec,
+		AskWithin: 10 * time.Second, MaxRetryAfter: 2 * time.Second,
+		ColdFrom: 0.12, WarmAfter: 24 * time.Second, FallMultiple: 2, FallFor: time.Second}
+}
+
+// rampCase is a row of the table below.
+type rampCase struct {
+	copies, cold, failing int
+	multiple              float64
+	window                time.Duration
+	hints, fresh          bool
+	tier                  int
+}
+
+func (c rampCase) ramp(seed uint64) ramp {
+	r := ramp{copies: c.copies, servers: 20, cold: c.cold, cores: 2, room: 24, work: 200 * msec, load: 0.5,
+		set: rampSettings(), hints: c.hints, fresh: c.fresh, failing: c.failing, seed: seed}
+	r.set.Tier, r.set.FallMultiple, r.set.FallFor = c.tier, c.multiple, c.window
+	return r
+}
+
+// No cold server gets more from all copies together than the settings allow, however many are cold, whether
+// the copies are few or many, old or new, and though the warm servers fail meanwhile. Nor are the cold ones
+// left alone: where few are cold, or the limit is wide, they take most of their share of the work.
+func TestColdRampHoldsForTheFleet(t *testing.T) {
+	for _, copies := range []int{5, 20, 30, 100} {
+		for _, multiple := range []float64{2, 4} {
+			t.Run(fmt.Sprint(copies, " copies, multiple ", multiple), func(t *testing.T) {
+				t.Parallel()
+				sum, rows := 0.0, 0.0
+				for _, window := range []time.Duration{500 * msec, time.Second, 2 * time.Second} {
+					for _, cold := range []int{2, 10, 18} {
+						for _, failing := range []int{0, (20 - cold) / 2} {
+							for _, hints := range []bool{false, true} {
+								c := rampCase{copies: copies, cold: cold, failing: failing, multiple: multiple, window: window,
+									hints: hints, fresh: int(rows)%3 == 2, tier: int(rows) / 2 % 2}
+								res := c.ramp(1).play(t, nil)
+								if res.falls > 0 {
+									t.Errorf("%+v: %d servers fall, %.2f of the limit", c, res.falls, res.worst)
+								}
+								rows++
+								sum += res.share
+							}
+						}
+					}
+				}
+				if sum/rows < 0.5 {
+					t.Errorf("cold servers took %.2f of their share on average", sum/rows)
+				}
+			})
+		}
+	}
+}
+
+// The check can fail: one server that gets all that is asked falls, and so does one that gets a warm one's
+// share from its first moment.
+func TestRampCheckCanFail(t *testing.T) {
+	r := rampCase{copies: 20, cold: 2, multiple: 2, window: time.Second}.ramp(1)
+	if res := r.play(t, func() int { return 0 }); res.falls != 1 {
+		t.Errorf("one server gets all: %d fall", res.falls)
+	}
+	i := 0
+	even := func() int {
+		i++
+		return i % 6
+	}
+	if res := r.play(t, even); res.falls != 2 {
+		t.Errorf("all servers alike: %d fall, %.2f of the limit", res.falls, res.worst)
+	}
+}
--- /dev/null
+++ b/slowstart.go
@@ -0,0 +1,197 @@
+// Slow start: what a server that has just started may be sent while it is cold. All copies together must
+// not push it over, and none of them sees what the others send.
+
+package woodpick
+
+import (
+	"math"
+	"time"
+)
+
+// Constants are shares, ratios or counts, as in policy.go.
+const (
+	lightPart  = 6.0 // times its warmth, of the mean effort, that a cold server takes at most
+	rarity     = 9.0 // exponent of the chance that what comes to a cold server in a window pushes it over
+	outside    = 0.1 // calls in a window that copies together send a cold server that is not in their pools
+	eager      = 1.3 // times a cold server's share of the calls that its credit grows by: some is never used
+	unused     = 2.0 // mean times between own calls, beyond a part of a window, after which credit is lost
+	lateWindow = 4   // that part of a window, and the times in it that held calls look for credit, halved
+)
+
+// warmth is the share of its capacity that a server surely has.
+func (b *Balancer) warmth(s *server) float64 {
+	age := b.now - s.Boot
+	if s.Boot <= 0 || age >= b.set.WarmAfter {
+		return 1
+	}
+	grown := max(0, float64(age)/float64(b.set.WarmAfter))
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*grown
+}
+
+// warmEnough keeps a cold server to one own call at a time, to the credit that it has here, and to its share
+// of a warm one's work. Where effort is hinted that share is made of the lighter requests: a heavy one takes
+// a cold server many times as long and is late, and what is worth most is lost, while a light one has time
+// to spare. Where neither hints nor a limit are told, the draw is thinned to the share.
+func (b *Balancer) warmEnough(s *server, r *request) bool {
+	w := b.warmth(s)
+	switch {
+	case w == 1:
+		return true
+	case s.calls > 0 || !b.inCredit(s):
+		return false
+	case r.effort > 0:
+		return r.effort <= lightPart*w*b.effort
+	}
+	return b.limited() || b.rng.Float64() < w
+}
+
+// borne is what servers bear of this copy's calls: good answers a second for each unit of their warmth. Each
+// copy's figure is its own part of what they bear of all copies, so limits taken from it add up over the
+// fleet, though no copy knows the others' traffic.
+type borne struct {
+	answers float64 // decayed; each counts one over the warmth of those that it could have come from
+	seconds float64 // in which such an answer could have come, decayed alike
+	at      time.Duration
+}
+
+// rate is in answers a second, once a window of seconds or more was seen.
+func (r borne) rate(window float64) float64 { return r.answers / max(r.seconds, window) }
+
+// note brings the figure up to now, forgetting over a number of seconds. An answer, if one has come, was of
+// one of the servers of a pool that have so much warmth together.
+func (r *borne) note(now time.Duration, over, warmth float64, answered bool) {
+	if warmth > 0 && r.at > 0 {
+		keep := math.Exp(-(now - r.at).Seconds() / over)
+		r.answers *= keep
+		r.seconds = r.seconds*keep + over*(1-keep)
+	}
+	r.at = now
+	if warmth > 0 && answered {
+		r.answers += 1 / warmth
+	}
+}
+
+// bear notes the time and, where a server is named, its good answer. What warm servers bear tells most: cold
+// ones bear no more than they are sent. Where the pool has no warm one, what was known of them stays, and
+// the cold ones tell if they bear more.
+func (b *Balancer) bear(s *server) {
+	pooled := s != nil && s.listed && s.pooled
+	warm, cold := b.poolWarmth()
+	b.warmBorne.note(b.now, b.ramp(), warm, pooled && b.warmth(s) == 1)
+	b.coldBorne.note(b.now, b.ramp(), cold, pooled && b.warmth(s) < 1)
+}
+
+// ramp is for how many seconds what is borne is remembered: half of a server's way to its full capacity is
+// long enough for a copy of few calls, and short enough to follow the load.
+func (b *Balancer) ramp() float64 { return (b.set.WarmAfter/2 + b.set.FallFor).Seconds() }
+
+// poolWarmth is what the warm and the cold servers of the pool can do, in warm servers.
+func (b *Balancer) poolWarmth() (warm, cold float64) {
+	for _, group := range [][]*server{b.pool.left, b.pool.right} {
+		for _, s := range group {
+			if w := b.warmth(s); w == 1 {
+				warm++
+			} else {
+				cold += w
+			}
+		}
+	}
+	return warm, cold
+}
+
+// credit is what a copy may still send to a cold server, in requests of mean work. It grows at this copy's
+// part of the rate that all copies together may have, from a random debt, or all would send their first
+// request at once; what is not used soon is lost, or it would come at once from all when traffic rises.
+type credit struct {
+	left float64
+	at   time.Duration // when it was brought up to date; 0: never
+}
+
+// limited says that the settings tell what pushes a cold server over.
+func (b *Balancer) limited() bool { return b.set.FallMultiple > 0 && b.set.FallFor > 0 }
+
+// inCredit says that a cold server may be sent a request now.
+func (b *Balancer) inCredit(s *server) bool {
+	if !b.limited() {
+		return true
+	}
+	rate := b.creditRate(s)
+	if s.credit.at == 0 {
+		s.credit = credit{-b.rng.Float64(), b.now}
+	}
+	most := rate * (b.set.FallFor.Seconds()/lateWindow + unused*b.interval.Seconds())
+	s.credit.left = min(most, s.credit.left+rate*(b.now-s.credit.at).Seconds())
+	s.credit.at = b.now
+	return s.credit.left >= 0
+}
+
+// pace is what the growth of credit goes by, the same for all cold servers at one time.
+type pace struct {
+	at     time.Duration
+	known  bool
+	each   float64 // own good answers a second that a warm server bears
+	copies float64 // that have a server in their pools
+	share  float64 // of this copy's requests, a second, that falls to a warm server
+}
+
+// findPace brings the pace up to now. The copies that have a server in their pools are taken to have them as
+// wide as this one's. A copy that has seen no warm server takes it that those of its pool, once warm, bear
+// what is asked of it.
+func (b *Balancer) findPace() {
+	if b.pace.known && b.pace.at == b.now {
+		return
+	}
+	b.bear(nil)
+	window, every := b.set.FallFor.Seconds(), max(b.interval.Seconds(), 1e-9)
+	asked := 1 / every / float64(max(1, b.width)) * (1 - b.warmBorne.seconds/b.ramp())
+	warm, cold := b.poolWarmth()
+	b.pace = pace{at: b.now, known: true,
+		each:   max(b.warmBorne.rate(window), b.coldBorne.rate(window), asked),
+		copies: max(1, float64(b.set.Balancers)*float64(b.width)/float64(max(1, len(b.ready)))),
+		share:  1 / max(warm+cold, 1e-9) / every}
+}
+
+// creditRate is how fast the credit of a cold server grows, in requests of mean work a second: by this copy's
+// part of what all may send it, and no faster than by its share of this copy's requests.
+func (b *Balancer) creditRate(s *server) float64 {
+	b.findPace()
+	window, warmth := b.set.FallFor.Seconds(), b.warmth(s)
+	copies, most := float64(max(1, b.set.Balancers)), outside
+	if s.pooled {
+		copies = b.pace.copies
+		most = max(most, safeMean(b.set.FallMultiple*warmth*b.pace.each*copies*window))
+	}
+	return min(most/copies/window, eager*warmth*b.pace.share)
+}
+
+// safeMean is what may come in a window on average for hardly any window to go over N + 2 x root of N + 2
+// requests of mean work, where a cold server falls. A count with the mean m is more than l with a chance of
+// at most exp(l - m - l x log(l/m)) (Chernoff's bound), which is solved for m by substitution, from below.
+func safeMean(n float64) (m float64) {
+	l := n + 2*math.Sqrt(n) + 2
+	for range 24 {
+		m = l * math.Exp((m-rarity)/l-1)
+	}
+	return m
+}
+
+// spend takes a request from a cold server's credit.
+func (b *Balancer) spend(s *server, r *request) {
+	switch {
+	case !b.limited() || b.warmth(s) == 1:
+	case r.effort > 0:
+		s.credit.left -= r.effort / b.effort
+	default:
+		s.credit.left--
+	}
+}
+
+// creditAgain is when held calls are to be looked at again, since credit grows with time alone.
+func (b *Balancer) creditAgain() time.Duration {
+	for _, s := range b.ready {
+		if b.limited() && b.warmth(s) < 1 {
+			return b.now + b.set.FallFor/(2*lateWindow)
+		}
+	}
+	return math.MaxInt64
+}
--- a/woodpick.go
+++ b/woodpick.go
@@ -67,6 +67,11 @@
 
 	ColdFrom  float64       // share of its capacity that a fresh server has at least
 	WarmAfter time.Duration // time after which it has all of it
+
+	// A cold server that all copies together send more than FallMultiple times what it can do at that time,
+	// for as long as FallFor, falls and stays down; 0: no such limit is told.
+	FallMultiple float64
+	FallFor      time.Duration
 }
 
 // validate names the first setting that is out of range.
@@ -104,7 +109,8 @@
 		{"Zones", float64(s.Zones), 1000},
 		{"Balancers", float64(s.Balancers), math.MaxInt32}, {"MaxAttempts", float64(s.MaxAttempts), math.MaxInt32},
 		{"WholeWeight", s.WholeWeight, math.MaxFloat64}, {"ClassWeight", s.ClassWeight, math.MaxFloat64},
-		{"ColdFrom", s.ColdFrom, 1}, {"AskWithin", float64(s.AskWithin), math.MaxInt64},
+		{"ColdFrom", s.ColdFrom, 1}, {"FallMultiple", s.FallMultiple, math.MaxFloat64},
+		{"FallFor", float64(s.FallFor), math.MaxInt64}, {"AskWithin", float64(s.AskWithin), math.MaxInt64},
 		{"Tick", float64(s.Tick), math.MaxInt64}, {"MaxRetryAfter", float64(s.MaxRetryAfter), math.MaxInt64},
 		{"WarmAfter", float64(s.WarmAfter), math.MaxInt64}} {
 		if !(f.value >= 0 && f.value <= f.max) { // NaN fails too
