Have the program's tests run again once the program has changed

What was seen: with a line of internal/node taken out, go test ./cmd/damsontrestle said (cached) and passed. The test's binary holds no node: its linker drops what only main uses, so the binary, and with it the kept result, was the same for the changed program.

build now reads the sources that the program is made of, and go test notes which files a test reads.

Measured with TestSimStarts and one line of internal/node/node.go taken out after two runs: without the look at the sources the third run is (cached), with it the test runs anew; unchanged, the second run is (cached) both ways.

--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/damsontrestle/main_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -40,6 +41,7 @@
 		}
 		return string(m[1])
 	}
+	lookAtSources(t)
 	dir = t.TempDir()
 	out, err := exec.Command("go", "build", "-o", filepath.Join(dir, "bin")+"/", "../...").CombinedOutput()
 	if err != nil {
@@ -48,6 +50,26 @@
 	return dir, command("run"), command("sim")
 }
 
+// lookAtSources has go test know what the program is built from: the test's own binary holds little of that,
+// and a result kept from before a change would stand for the changed program.
+func lookAtSources(t *testing.T) {
+	t.Helper()
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case d.Name() == ".git" || d.Name() == "journal":
+			return filepath.SkipDir
+		case strings.HasSuffix(path, ".go") || d.Name() == "go.mod":
+			_, err = os.ReadFile(path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestSimStarts(t *testing.T) {
 	dir, _, sim := build(t)
 	cmd := exec.Command("/bin/sh", "-c", sim)
