Keep callers and servers together within the node's descriptors

What was seen: callers were counted against the servers' connections that there were at the moment, and those not against the callers at all. Idle clients could take what is kept for servers (1,010 of 1,024 descriptors in use before the first server was known), and requests that were held while discovery was down and sent off together by its list then took all that there was: 256 of 256 and 1,024 of 1,024, with nothing left for discovery or for accepting.

Change: callers.full keeps the servers' least share free also while they have no connections (least's comment said so already), and backend.take opens no connection for which callers leave no descriptor; such an attempt ends as before as Void.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -112,7 +112,8 @@
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	idleFor time.Duration
 	restFor time.Duration
-	most    int // connections open or being opened
+	most    int        // connections open or being opened
+	left    func() int // for how many callers leave descriptors
 
 	mu   sync.Mutex
 	idle map[host][]*conn // the oldest first
@@ -124,6 +125,7 @@
 func newBackend(cfg Config, c clock, most int) *backend {
 	dialer := net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}
 	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{}, dial: dialer.DialContext,
+		left:    func() int { return most },
 		restFor: min(restFor, cfg.ConnIdle/4),
 		// Closed a little before the server does, or a request might cross its close and end as a reset.
 		idleFor: cfg.ConnIdle - cfg.ConnIdle/10}
@@ -309,6 +311,7 @@
 // take returns the idle connection used last of those that have rested, or nil once there is room to open
 // one. When short, the connection idle for longest is closed first.
 func (b *backend) take(to host, waiter chan reply) (*conn, error) {
+	most := min(b.most, b.left()) // before the lock: callers ask for connections under theirs
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	free, now := b.idle[to], b.clock.now()
@@ -319,7 +322,7 @@
 			return c, nil
 		}
 	}
-	if b.open >= b.most {
+	if b.open >= most {
 		var oldest *conn
 		for _, free := range b.idle {
 			if len(free) > 0 && (oldest == nil || free[0].since < oldest.since) {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -359,11 +359,18 @@
 	return s.over() > 0
 }
 
-// full says that one more would leave the node without a descriptor.
+// left is how many descriptors callers leave for connections to servers.
+func (s *callers) left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.room + s.spare - len(s.conns)
+}
+
+// full says that one more would take a descriptor that is kept for others.
 func (s *callers) full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) < s.room+s.spare-s.servers() {
+	if len(s.conns) < s.room+s.spare-max(s.least, s.servers()) {
 		return false
 	}
 	s.counts.TurnedAway++
