Make room also when the node is full and turns a caller away

What was seen: with all places taken by silent or half-sent clients, a node shut every new connection unread until its idle clients timed out (2.5 s): 100 connections of a good client in a row, 10 ms apart. Room was made only when a connection was accepted or changed its state, and a full node accepts none.

Change: callers.full makes room for the next one when it turns one away.

TestIdleClientsKeepNobodyOut, on the real program under ulimit -n 64, 256 and 1,024: silent, half-sent, resting and mixed clients, more than there are descriptors, that come again; pushed and asked lists; discovery silent or refusing; servers told before, known from the configuration, or none.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -366,7 +366,8 @@
 	return s.room + s.spare - len(s.conns)
 }
 
-// full says that one more would take a descriptor that is kept for others.
+// full says that one more would take a descriptor that is kept for others. Whoever is turned away shows nowhere
+// else, so room is made for the next one here.
 func (s *callers) full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -374,6 +375,7 @@
 		return false
 	}
 	s.counts.TurnedAway++
+	s.makeRoom()
 	return true
 }
 
