Begin nothing for a caller that left, however much it sent ahead

Cause: the watch for a caller's leaving ended once 4 KiB were sent ahead of an answer, and did not begin again for what was read from there; a close or reset behind 8,192 bytes and more went unseen, and a held request was sent on. An attempt in flight was called off at a half-close, and its reader got an error.

Change: all that comes is read while a request waits, up to the longest request (80 KiB) for one caller and a sixteenth of the node's memory for all. Beyond that the caller can't be watched: no attempt begins for it, and it is answered at once, refused unless an attempt may have run. A request goes to the module only after the watch has read what had come. After a close no attempt begins, one that has begun goes on and its answer is written, unless a reset follows, which 102 Processing draws from a caller that has closed for good.

TestRequestsSentAheadAreAnsweredInOrder waited until the bytes up to the old bound were read; it now sends 800 requests instead of 60, and waits until every byte of them is read.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -40,6 +40,9 @@
 	to             host
 	sent, deadline time.Duration
 	before         time.Duration // it must not begin later: the servers discard its repeats no longer; 0: no such time
+	begun          bool          // a byte of it may have been written. Guarded by call.mu
+	ended          bool          // and its result is passed on
+	spared         bool          // it goes on until its caller is known to be gone
 }
 
 // host is one life of a server at one address. A server that starts anew, or another at an address that
@@ -287,7 +290,7 @@
 		c.waiter = nil
 		b.drop(c)
 		return another
-	case ctx.Err() != nil || a.call.gone.Load() || overdue || !b.serves(c.to):
+	case ctx.Err() != nil || overdue || !b.serves(c.to) || !a.call.begin(a):
 		c.waiter, c.since = nil, b.clock.now()
 		b.rest(c)
 		if ctx.Err() != nil {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,15 +1,18 @@
 package node
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -36,6 +39,9 @@
 	servers func() int // how many they have
 	spare   int        // descriptors beyond room for callers whose requests are read only to be refused
 
+	aheadMost int64        // bytes that all may send ahead together
+	aheadKept atomic.Int64 // bytes reserved for that
+
 	mu      sync.Mutex
 	conns   map[*callerConn]struct{}
 	leaving int // let go and not closed yet
@@ -64,11 +70,21 @@
 	lingering              // answered for good; what still comes is thrown away
 )
 
-func newCallers(c clock, room, spare int, servers func() int) *callers {
-	return &callers{clock: c, room: room, least: room / 4, servers: servers, spare: spare,
+// newCallers takes the node's memory in bytes, of which what callers send ahead may fill a share.
+func newCallers(c clock, room, spare int, memory int64, servers func() int) *callers {
+	return &callers{clock: c, aheadMost: memory / aheadShare, room: room, least: room / 4, servers: servers, spare: spare,
 		conns: map[*callerConn]struct{}{}, grace: defaultGraces()}
 }
 
+// keepAhead reserves bytes for what a caller sends ahead, or gives some back.
+func (s *callers) keepAhead(n int) bool {
+	if s.aheadKept.Add(int64(n)) > s.aheadMost && n > 0 {
+		s.aheadKept.Add(int64(-n))
+		return false
+	}
+	return true
+}
+
 // most is how many connections callers may hold now: what servers leave. The caller holds mu.
 func (s *callers) most() int { return max(s.room/2, s.room-max(s.least, s.servers())) }
 
@@ -86,100 +102,266 @@
 	leaving  bool
 	cut      bool      // leaving, whatever still comes
 	deadline time.Time // as net/http wants it
-	waits    bool      // its request has been read whole and is not answered
+	serving  bool      // a request's head is read, and it is not answered
 	ahead    []byte    // what came meanwhile, to be read once that is answered
-	left     bool      // its other side has closed or reset it
+	kept     int       // bytes reserved for ahead
+	parted   parting
+	looked   chan struct{} // closed once the watch beside the request has read all that had come
+	turned   chan struct{} // gets one when parted changes
 
 	callers  *callers
 	activity // guarded by callers.mu
 }
 
-// maxAhead bounds what is read ahead of a caller that does not wait for its answer. Beyond it the caller's
-// leaving goes unnoticed.
-const maxAhead = 4 << 10
+// parting is what is known of a caller's leaving while its request waits. The greater holds.
+type parting int
+
+const (
+	present    parting = iota
+	unwatched          // too much is sent ahead to be kept, so its leaving can't be seen
+	halfClosed         // it sends no more; whether it still reads is not known
+	gone               // it has reset its connection
+)
+
+// aheadStep is the least that is kept of what a caller sends ahead, in bytes.
+const aheadStep = 4 << 10
+
+// aheadEach is how much one caller may send ahead, in bytes: the longest request that there is.
+const aheadEach = maxHeader + maxBody
+
+// aheadShare is the part of the node's memory that all callers together may fill with what they send ahead.
+const aheadShare = 16
 
-// Read goes on reading while a request is with the module, whatever comes: net/http watches for the
-// caller's leaving by a read of one byte, which any byte that comes early would end.
+// errUnwatched ends the watch for a caller's leaving.
+var errUnwatched = errors.New("too much is sent ahead")
+
+// Read watches for the caller's leaving while a request waits: net/http does so by a read of one byte,
+// which any byte that comes early would end.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if len(p) == 1 && c.startWatch() { // any other read by net/http fills a buffer
+		return 0, c.watch()
+	}
 	if n := c.takeAhead(p); n > 0 {
 		return n, nil
 	}
-	for into := p; ; into = make([]byte, 512) {
+	n, err := c.Conn.Read(p)
+	c.came(n, err)
+	return n, err
+}
+
+// startWatch tells whether a request waits. If so, no wait for another is left to be ended: neither
+// this connection's being let go nor what was seen beside an earlier request holds any longer.
+func (c *callerConn) startWatch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.serving {
+		c.hear()
+	}
+	return c.serving
+}
+
+// hear notes that the caller has said something. The caller holds mu.
+func (c *callerConn) hear() {
+	c.begun = true
+	if c.leaving && !c.cut {
+		c.leaving = false
+		c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// watch reads whatever the caller sends ahead, so that no close or reset can hide behind it, until the
+// deadline for reading, a reset, or the bound. After a close it waits for a reset.
+func (c *callerConn) watch() error {
+	defer c.look()
+	for {
+		if err := c.awaitUnread(); err != nil {
+			c.came(0, err)
+			return err
+		}
+		into := c.spare()
+		if into == nil {
+			c.part(unwatched)
+			return errUnwatched
+		}
 		n, err := c.Conn.Read(into)
-		switch c.came(into[:n], err) {
-		case passOn:
-			return n, err
-		case takeOut:
-			return c.takeAhead(p), nil
+		c.keep(n)
+		c.came(n, err)
+		switch {
+		case errors.Is(err, io.EOF):
+			c.look()
+			return c.awaitReset()
+		case err != nil:
+			return err
 		}
 	}
 }
 
-// whereTo is what becomes of bytes that a caller sent.
-type whereTo int
+// awaitUnread waits until the kernel has something of the caller: bytes, its close or a reset.
+func (c *callerConn) awaitUnread() error {
+	raw := rawConn(c.Conn)
+	if raw == nil {
+		return nil
+	}
+	return raw.Read(func(fd uintptr) bool {
+		has := peek(fd)
+		if !has {
+			c.look()
+		}
+		return has
+	})
+}
 
-const (
-	passOn   whereTo = iota // to net/http
-	readMore                // they are kept, and the watch for the caller's leaving goes on
-	takeOut                 // they are kept behind others, and the first of all go to net/http
-)
+// awaitReset waits, after the caller's close, for a reset or the deadline for reading.
+func (c *callerConn) awaitReset() error {
+	raw := rawConn(c.Conn)
+	if raw == nil {
+		return io.EOF
+	}
+	var cause error
+	err := raw.Read(func(fd uintptr) bool {
+		no, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		if err == nil && no != 0 {
+			err = syscall.Errno(no)
+		}
+		cause = err
+		return err != nil
+	})
+	if err == nil {
+		c.part(gone)
+		err = cause
+	}
+	return err
+}
 
-// came notes what a read brought.
-func (c *callerConn) came(p []byte, err error) whereTo {
+// look notes that all that the caller had sent is read, or as much as can be kept.
+func (c *callerConn) look() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(p) == 0 {
-		var late net.Error
-		c.left = c.left || err != nil && !(errors.As(err, &late) && late.Timeout())
-		return passOn
+	select {
+	case <-c.looked:
+	default:
+		close(c.looked)
 	}
-	c.begun = true
-	if c.leaving && !c.cut {
-		c.leaving = false
-		c.Conn.SetReadDeadline(c.deadline)
+}
+
+// settle waits until the watch beside the request has read all that had come, and tells what is known of
+// the caller's leaving then.
+func (c *callerConn) settle() parting {
+	c.mu.Lock()
+	looked := c.looked
+	c.mu.Unlock()
+	<-looked
+	return c.parting()
+}
+
+// serve notes that a request's head is read.
+func (c *callerConn) serve() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.looked = true, make(chan struct{})
+	if c.turned == nil {
+		c.turned = make(chan struct{}, 1)
 	}
-	if !c.waits && len(c.ahead) == 0 {
-		return passOn
+	if c.parted == unwatched { // there may be room again
+		c.parted = present
 	}
-	if c.ahead = append(c.ahead, p...); c.waits && len(c.ahead) < maxAhead {
-		return readMore
+}
+
+// came notes what a read brought.
+func (c *callerConn) came(n int, err error) {
+	var late net.Error
+	switch {
+	case n > 0:
+		c.mu.Lock()
+		c.hear()
+		c.mu.Unlock()
+	case errors.Is(err, io.EOF):
+		c.part(halfClosed)
+	case err != nil && !(errors.As(err, &late) && late.Timeout()):
+		c.part(gone)
 	}
-	return takeOut
 }
 
-// takeAhead takes bytes that were read ahead.
-func (c *callerConn) takeAhead(p []byte) int {
+// part notes that the caller may leave, or has left.
+func (c *callerConn) part(how parting) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := copy(p, c.ahead)
-	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-		c.ahead = nil
+	if how <= c.parted {
+		return
 	}
-	return n
+	c.parted = how
+	select {
+	case c.turned <- struct{}{}:
+	default:
+	}
+}
+
+func (c *callerConn) parting() parting {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parted
 }
 
-// wait tells whether a request has been read whole, so that what comes belongs to none or to the next.
-func (c *callerConn) wait(is bool) {
+// spare is room for more that is sent ahead, or nil at the bound of this connection's or of all.
+func (c *callerConn) spare() []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waits = is
+	if used := len(c.ahead); used == cap(c.ahead) {
+		size := min(max(aheadStep, 2*used), aheadEach)
+		if used >= size || !c.callers.keepAhead(size-c.kept) {
+			return nil
+		}
+		c.kept = size
+		c.ahead = append(make([]byte, 0, size), c.ahead...)
+	}
+	return c.ahead[len(c.ahead):cap(c.ahead)]
 }
 
-// hasLeft says that the caller closed its connection or reset it.
-func (c *callerConn) hasLeft() bool {
+// keep adds bytes that were read into the spare room.
+func (c *callerConn) keep(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.left
+	if c.ahead = c.ahead[:len(c.ahead)+n]; len(c.ahead) == 0 {
+		c.dropAhead()
+	}
 }
 
-// Write begins before the client can have sent its next request, unless that has been read ahead.
-func (c *callerConn) Write(p []byte) (int, error) {
+// takeAhead takes bytes that were read ahead.
+func (c *callerConn) takeAhead(p []byte) int {
 	c.mu.Lock()
-	c.begun = len(c.ahead) > 0
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	n := copy(p, c.ahead)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.dropAhead()
+	}
+	return n
+}
+
+// dropAhead gives back the room for what is sent ahead. The caller holds mu.
+func (c *callerConn) dropAhead() {
+	c.callers.keepAhead(-c.kept)
+	c.ahead, c.kept = nil, 0
+}
+
+// Write begins before the client can have sent its next request, unless that has been read ahead. An
+// interim response (of which net/http writes 100 Continue) answers nothing.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if !bytes.HasPrefix(p, []byte("HTTP/1.1 1")) {
+		c.mu.Lock()
+		c.begun, c.serving = len(c.ahead) > 0, false
+		c.mu.Unlock()
+	}
 	return c.Conn.Write(p)
 }
 
+// interim has a caller that has closed for good answer with a reset, and one that still reads wait on.
+func (c *callerConn) interim() {
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
+		c.part(gone)
+	}
+}
+
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -302,12 +484,16 @@
 		s.conns[c] = struct{}{}
 		s.move(c, silent)
 	case http.StateActive:
+		c.serve()
 		s.move(c, reading)
 	case http.StateIdle:
 		s.move(c, idle)
 	default:
 		s.move(c, lingering)
 		delete(s.conns, c)
+		c.mu.Lock()
+		c.dropAhead()
+		c.mu.Unlock()
 		return
 	}
 	s.makeRoom()
--- a/internal/node/edge_test.go
+++ b/internal/node/edge_test.go
@@ -63,7 +63,7 @@
 		{"left out of a whole list", func(b *backend, a *attempt) { b.servers(nil, true) }, woodpick.Void},
 		{"started anew", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.Boot = time.Hour }) }, woodpick.Void},
 		{"moved", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.endpoint = "127.0.0.1:2" }) }, woodpick.Void},
-		{"its caller left", func(b *backend, a *attempt) { a.call.gone.Store(true) }, woodpick.Void},
+		{"its caller left", func(b *backend, a *attempt) { a.call.part() }, woodpick.Void},
 		{"called off", func(b *backend, a *attempt) { a.cancel() }, woodpick.Withdrawn},
 		{"repeats are discarded no longer", func(b *backend, a *attempt) { a.before = b.clock.now() }, woodpick.Void},
 	} {
@@ -100,7 +100,7 @@
 	end := make(chan result, 1)
 	go func() { end <- b.run(a) }()
 	wait(t, held.up, "the connection")
-	a.call.gone.Store(true)
+	a.call.part()
 	close(held.through)
 	wait(t, end, "the attempt's end")
 	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || s.opened() != 1 || s.seen() != 1 {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -88,10 +88,7 @@
 		return
 	}
 	conn := connOf(r.Context())
-	conn.wait(r.ContentLength == 0)
-	defer conn.wait(false)
 	c, err := f.readCall(w, r)
-	conn.wait(true)
 	if err != nil {
 		status := http.StatusBadRequest
 		var no *rejected
@@ -106,43 +103,44 @@
 	if !f.closing.Load() {
 		w.Header().Del("Connection")
 	}
-	if conn.hasLeft() { // it sent this ahead, and left before the answer to the one before
-		f.leave(w)
-		return
-	}
-	if !f.callers.open(conn) {
+	// A caller that has left, or whose leaving can't be seen, has nothing begun for it: what it sent ahead
+	// is refused in turn. One that has only stopped sending may read that.
+	if conn.settle() != present || !f.callers.open(conn) {
 		f.write(w, answer{kind: refused, retryAfter: f.advice})
 		return
 	}
 	f.post(arrived{c})
-	if a, left := f.await(r.Context(), conn, c); left {
-		f.leave(w)
-	} else {
-		f.write(w, a)
+	a, reads := f.await(conn, c, r.ProtoAtLeast(1, 1))
+	if !reads {
+		w.Header().Set("Connection", "close")
+		a.kind = failed // net/http would make a 200 of silence
 	}
+	f.write(w, a)
 }
 
-// leave ends the connection of a caller that has closed its side. To one that has only stopped sending,
-// anything but an answer would look like one.
-func (f *frontend) leave(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
-	f.write(w, answer{kind: failed})
-}
-
-// await waits for the answer to a call, or for its caller to leave. The mark on the call is there before
-// the loop hears of it, for a connection to a server may come up just then.
-func (f *frontend) await(ctx context.Context, conn *callerConn, c *call) (a answer, left bool) {
-	select {
-	case a := <-c.answer:
-		return a, false
-	case <-ctx.Done():
-	}
-	if !conn.hasLeft() { // the time to read the request ran out just after it was read
-		return <-c.answer, false
+// await waits for the answer to a call, or for its caller to be gone: then nobody reads one. The mark on
+// the call is there before the loop hears of a parting, for a connection to a server may come up just then.
+func (f *frontend) await(conn *callerConn, c *call, interims bool) (a answer, reads bool) {
+	for told := present; ; {
+		select {
+		case a := <-c.answer:
+			return a, true
+		case <-conn.turned:
+		}
+		how := conn.parting()
+		if how <= told {
+			continue
+		}
+		told = how
+		begun := c.part()
+		f.post(callerGone{call: c, how: how, at: f.clock.now(), advice: f.advice})
+		switch {
+		case how == gone:
+			return answer{}, false
+		case how == halfClosed && begun && interims:
+			conn.interim()
+		}
 	}
-	c.gone.Store(true)
-	f.post(callerGone{call: c, at: f.clock.now()})
-	return answer{}, true
 }
 
 // rejected is a request that can't be used: it is answered without a look at any server.
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -1,10 +1,15 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -108,7 +113,7 @@
 
 // What a caller sends before its answer has come is its next request, in order and whole.
 func TestRequestsSentAheadAreAnsweredInOrder(t *testing.T) {
-	hold, got := make(chan struct{}), make(chan struct{}, 100)
+	hold, got := make(chan struct{}), make(chan struct{}, 1000)
 	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
 		got <- struct{}{}
 		<-hold
@@ -118,13 +123,479 @@
 	c := dial(t, n)
 	c.get("r0")
 	wait(t, got, "the first request")
-	const more = 60 // longer than what is read ahead
+	const more = 800 // much longer than what is read at once
+	sent := 0
 	for i := 1; i <= more; i++ {
 		c.get(fmt.Sprint("r", i))
+		sent += len(requestText(fmt.Sprint("r", i)))
 	}
-	until(t, "the bytes to be read", func() bool { return readAhead(n) >= maxAhead-512 })
+	until(t, "the bytes to be read", func() bool { return readAhead(n) == sent })
 	close(hold)
 	for i := 0; i <= more; i++ {
 		c.want(t, 200, fmt.Sprint("for r", i))
 	}
 }
+
+// requestText is what get writes.
+func requestText(id string) string {
+	return "GET /view/k HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: " + id + "\r\nX-Deadline: 60\r\n\r\n"
+}
+
+// sentAhead is so many bytes of requests, the last of them cut.
+func sentAhead(size int) string {
+	text := ""
+	for i := 0; len(text) < size; i++ {
+		text += requestText(fmt.Sprint("next-", i))
+	}
+	return text[:size]
+}
+
+// However much a caller sends ahead of an answer, once it has closed or reset its connection no attempt
+// begins for it, nor for what it sent ahead: wherever its request is just then.
+func TestNothingBeginsForACallerThatLeftBehindManyBytes(t *testing.T) {
+	for _, where := range []string{"held", "dial", "retry", "busy loop"} {
+		for _, ahead := range []int{0, 100, 3000, 8192, 20000, 60000, 2 * aheadEach} {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprint(where, " ", ahead, " reset=", reset), func(t *testing.T) {
+					t.Parallel()
+					leaveBehind(t, where, ahead, reset)
+				})
+			}
+		}
+	}
+}
+
+func leaveBehind(t *testing.T, where string, ahead int, reset bool) {
+	s := newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("X-Request-Id") == "leaving" {
+			_, err := io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		}
+		return echo(c, r, body)
+	})
+	state, first := "in_service", make(chan struct{}, 1)
+	if where == "held" {
+		state = "terminating"
+	}
+	var dials heldDial
+	stopped, resume := make(chan struct{}), make(chan struct{})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), state), entry("s2", s.addr(), state))), func(n *Node) {
+		switch where {
+		case "dial":
+			dials = holdDials(n.backend)
+		case "busy loop": // it stops at the first list that is pushed
+			take := n.loop.servers
+			n.loop.servers = func(targets []target, full bool) {
+				if !full {
+					close(stopped)
+					<-resume
+				}
+				take(targets, full)
+			}
+		case "retry": // the first connection comes up at once, the second is held
+			through := n.backend.dial
+			dials = holdDials(n.backend)
+			held := n.backend.dial
+			first <- struct{}{}
+			n.backend.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				select {
+				case <-first:
+					return through(ctx, network, address)
+				default:
+					return held(ctx, network, address)
+				}
+			}
+		}
+	})
+	list := func(rev int, state string) event {
+		news, err := parseList([]byte(strings.Replace(whole(entry("s1", s.addr(), state), entry("s2", s.addr(), state)), "%d", fmt.Sprint(rev), 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return listNews{list: news}
+	}
+	c := dial(t, n)
+	switch where {
+	case "held":
+		c.get("leaving")
+		untilOpened(t, n, 1)
+	case "dial", "retry":
+		c.get("leaving")
+		wait(t, dials.up, "the connection")
+	case "busy loop":
+		until(t, "the first list to be taken", n.loop.ready.Load)
+		news := list(2, "in_service").(listNews)
+		news.list.full, news.list.targets[0].Size = false, 2
+		n.loop.post(news)
+		wait(t, stopped, "the loop")
+		c.get("leaving")
+		until(t, "the request to be queued", func() bool { return len(n.loop.events) == 1 })
+	}
+	text := sentAhead(ahead)
+	if ahead > aheadEach && where != "busy loop" {
+		text = strings.Repeat("x", ahead) // they are answered while the caller is there: no requests, then
+	}
+	io.WriteString(c, text)
+	if ahead <= aheadEach {
+		until(t, "the bytes to be read", func() bool { return readAhead(n) == ahead })
+	}
+	if reset {
+		c.Conn.(*net.TCPConn).SetLinger(0)
+	}
+	c.Close()
+	if where == "busy loop" {
+		until(t, "the leaving to be queued", func() bool { return len(n.loop.events) >= 2 })
+		close(resume)
+	}
+	until(t, "the node to notice", func() bool { return n.frontend.callers.held() == 0 })
+	switch where {
+	case "held":
+		n.loop.post(list(2, "in_service"))
+	case "dial", "retry":
+		close(dials.through)
+	}
+	seen := map[string]int{"other": 1}
+	if where == "retry" {
+		seen["leaving"] = 1 // begun before its caller left
+	}
+	nothingOfTheLeavers(t, n, s, seen)
+}
+
+func untilOpened(t *testing.T, n *Node, many int) {
+	t.Helper()
+	until(t, "the requests to be with the module", func() bool {
+		n.frontend.callers.mu.Lock()
+		defer n.frontend.callers.mu.Unlock()
+		return n.frontend.callers.opened == many
+	})
+}
+
+// nothingOfTheLeavers has another caller served, waits for all attempts to end, and says what the server may
+// have got.
+func nothingOfTheLeavers(t *testing.T, n *Node, s *fakeServer, want map[string]int) {
+	t.Helper()
+	other := dial(t, n)
+	other.get("other")
+	other.want(t, 200, "for other")
+	until(t, "all attempts' end", func() bool {
+		n.backend.mu.Lock()
+		defer n.backend.mu.Unlock()
+		kept := 0
+		for _, idle := range n.backend.idle {
+			kept += len(idle)
+		}
+		return kept == n.backend.open
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	got := map[string]int{}
+	for _, id := range s.requests {
+		got[id]++
+	}
+	if !maps.Equal(got, want) {
+		t.Errorf("the server got %v, want %v", got, want)
+	}
+	if kept := n.frontend.callers.aheadKept.Load(); kept != 0 {
+		t.Errorf("%d bytes are kept of callers that have left", kept)
+	}
+}
+
+// Fifty that leave at once are all seen to.
+func TestNothingBeginsForABurstOfLeavers(t *testing.T) {
+	s := newServer(t, echo)
+	through := make(chan struct{})
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.backend.dial = func(_ context.Context, network, address string) (net.Conn, error) {
+			nc, err := net.Dial(network, address)
+			<-through
+			return nc, err
+		}
+	})
+	var leavers []*caller
+	for i := range 50 {
+		c := dial(t, n)
+		c.get(fmt.Sprint("leaving-", i))
+		leavers = append(leavers, c)
+	}
+	untilOpened(t, n, len(leavers))
+	for i, c := range leavers {
+		io.WriteString(c, sentAhead(1000*i))
+	}
+	for i, c := range leavers {
+		if i%2 == 0 {
+			c.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+	until(t, "the node to notice", func() bool { return n.frontend.callers.held() == 0 })
+	close(through)
+	nothingOfTheLeavers(t, n, s, map[string]int{"other": 1})
+}
+
+// A caller that only stops sending reads on: it gets the answer of the attempt that has begun, be it the only
+// one and a failure, or a refusal at once if none has, and so does what it sent ahead.
+func TestHalfClosedCallerGetsItsAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name, text, then string // what the caller sends, and what the server does
+		where            string
+		want             []int // the answers' status codes, interim ones included
+		seen             int   // requests that begin at the server
+	}{
+		{"in flight", requestText("r"), "200", "begun", []int{102, 200}, 1},
+		{"in flight, and one sent ahead", requestText("r") + requestText("next"), "200", "begun", []int{102, 200, 503}, 1},
+		{"in flight, and fails", requestText("r"), "500", "begun", []int{102, 502}, 1},
+		{"in flight, and breaks", requestText("r"), "reset", "begun", []int{102, 502}, 1},
+		{"in flight, and did not run", requestText("r"), "503", "begun", []int{102, 503}, 1},
+		{"in flight for HTTP/1.0", strings.Replace(requestText("r"), "HTTP/1.1", "HTTP/1.0", 1), "200", "begun", []int{200}, 1},
+		{"in flight, with a body that was waited for", "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Deadline: 60\r\n" +
+			"Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody", "200", "begun", []int{100, 102, 200}, 1},
+		{"held", requestText("r"), "", "held", []int{503}, 0},
+		{"held, and one sent ahead", requestText("r") + requestText("next"), "", "held", []int{503, 503}, 0},
+		{"its connection comes up", requestText("r"), "", "dial", []int{503}, 0},
+		{"in flight at the node's end", requestText("r"), "", "last call", []int{102, 502}, 1},
+	} {
+		for _, mayCancel := range []bool{true, false} {
+			t.Run(fmt.Sprint(c.name, " ", mayCancel), func(t *testing.T) {
+				t.Parallel()
+				got, answer := make(chan struct{}, 10), make(chan struct{})
+				s := newServer(t, func(nc net.Conn, r *http.Request, body string) bool {
+					got <- struct{}{}
+					<-answer
+					switch c.then {
+					case "200":
+						return echo(nc, r, body)
+					case "reset":
+						nc.(*net.TCPConn).SetLinger(0)
+						return false
+					}
+					_, err := fmt.Fprintf(nc, "HTTP/1.1 %s X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", c.then)
+					return err == nil
+				})
+				state := "in_service"
+				if c.where == "held" {
+					state = "terminating"
+				}
+				cfg := testConfig(whole(entry("s1", s.addr(), state)))
+				cfg.Settings.MayCancel = mayCancel
+				var dials heldDial
+				n, _ := startNode(t, cfg, func(n *Node) {
+					if c.where == "dial" {
+						dials = holdDials(n.backend)
+					}
+				})
+				half := dial(t, n)
+				io.WriteString(half, c.text)
+				switch c.where {
+				case "held":
+					untilOpened(t, n, 1)
+				case "dial":
+					wait(t, dials.up, "the connection")
+				default:
+					wait(t, got, "the attempt")
+				}
+				half.Conn.(*net.TCPConn).CloseWrite()
+				if c.want[0] == 200 { // told of nothing before
+					until(t, "the close to be seen", func() bool {
+						n.frontend.callers.mu.Lock()
+						defer n.frontend.callers.mu.Unlock()
+						for nc := range n.frontend.callers.conns {
+							return nc.parting() == halfClosed
+						}
+						return false
+					})
+					close(answer)
+				}
+				for i, status := range c.want {
+					r, body := half.answer(t)
+					if r.StatusCode != status || status == 200 && body != "for r" {
+						t.Errorf("answer %d: got %d %q, want %d", i, r.StatusCode, body, status)
+					}
+					if status == 503 && r.Header.Get("Retry-After") == "" {
+						t.Errorf("answer %d: no Retry-After", i)
+					}
+					if status != 102 {
+						continue
+					}
+					if c.where == "last call" {
+						n.loop.post(lastCall{})
+					} else {
+						close(answer)
+					}
+				}
+				closed(t, half.br, "the connection after the last answer")
+				switch c.where {
+				case "dial":
+					close(dials.through)
+				case "last call":
+					close(answer)
+				}
+				if c.where == "last call" { // nothing is sent on any more
+					return
+				}
+				if s.seen() != c.seen {
+					t.Errorf("%d requests began, want %d", s.seen(), c.seen)
+				}
+			})
+		}
+	}
+}
+
+// A caller that sends more ahead than is kept can't be watched. Its request is answered at once, as refused
+// unless an attempt may have run, and so is in turn what it sent ahead, until it can be watched again.
+func TestCallerBeyondTheBoundIsAnsweredAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begun bool
+		all   int64 // what all callers may send ahead
+		want  int
+	}{
+		{"held, beyond its own bound", false, 16 * aheadEach, 503},
+		{"in flight, beyond its own bound", true, 16 * aheadEach, 502},
+		{"held, beyond the bound of all", false, 3 * aheadStep, 503},
+		{"in flight, beyond the bound of all", true, 3 * aheadStep, 502},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			got := make(chan struct{}, 1)
+			s := newServer(t, func(nc net.Conn, r *http.Request, body string) bool {
+				if r.Header.Get("X-Request-Id") != "r" {
+					return echo(nc, r, body)
+				}
+				got <- struct{}{}
+				nc.Read(make([]byte, 1)) // until the node closes
+				return false
+			})
+			state := "terminating"
+			if c.begun {
+				state = "in_service"
+			}
+			n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), state))), func(n *Node) {
+				n.frontend.callers.aheadMost = c.all
+			})
+			many := dial(t, n)
+			many.get("r")
+			if c.begun {
+				wait(t, got, "the attempt")
+			} else {
+				untilOpened(t, n, 1)
+			}
+			const more = 2 * aheadEach / 80
+			go func() {
+				for i := range more {
+					many.get(fmt.Sprint("next-", i))
+				}
+			}()
+			many.want(t, c.want, "")
+			if !c.begun { // whoever can be watched again waits for a server
+				news, err := parseList([]byte(strings.Replace(whole(entry("s1", s.addr(), "in_service")), "%d", "2", 1)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				n.loop.post(listNews{list: news})
+			}
+			sent := 0
+			for i := range more {
+				r, body := many.answer(t)
+				if served := r.StatusCode == 200 && body == fmt.Sprint("for next-", i); served {
+					sent++
+				} else if r.StatusCode != 503 {
+					t.Fatalf("request %d: got %d %q", i, r.StatusCode, body)
+				}
+			}
+			if c.begun {
+				sent++
+			}
+			if s.seen() != sent {
+				t.Errorf("%d requests began, %d were served", s.seen(), sent)
+			}
+			many.get("last")
+			many.want(t, 200, "for last")
+			if kept := n.frontend.callers.aheadKept.Load(); kept != 0 {
+				t.Errorf("%d bytes are kept with nothing sent ahead", kept)
+			}
+		})
+	}
+}
+
+// gatedConns holds back what the node asks of its callers' connections.
+type gatedConns struct {
+	*net.TCPListener
+	reads, looks *gate
+}
+
+// gate holds back the first that pass, until it is opened.
+type gate struct {
+	first       atomic.Int32
+	at, through chan struct{}
+}
+
+func newGate(first int32) *gate {
+	g := &gate{at: make(chan struct{}, first), through: make(chan struct{})}
+	g.first.Store(first)
+	return g
+}
+
+func (g *gate) pass() {
+	if g.first.Add(-1) >= 0 {
+		g.at <- struct{}{}
+		<-g.through
+	}
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	of gatedConns
+}
+
+func (l gatedConns) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{c, l}, nil
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	c.of.reads.pass()
+	return c.TCPConn.Read(p)
+}
+
+func (c gatedConn) SyscallConn() (syscall.RawConn, error) {
+	c.of.looks.pass()
+	return c.TCPConn.SyscallConn()
+}
+
+// A request whose caller has closed before it is read does not go to the module before the close is seen,
+// however late the watch gets to look.
+func TestNothingBeginsBeforeTheWatchHasLooked(t *testing.T) {
+	s := newServer(t, echo)
+	reads, looks := newGate(2), newGate(2)
+	n, _ := startNode(t, testConfig(whole(entry("s1", s.addr(), "in_service"))), func(n *Node) {
+		n.listener = gatedConns{n.listener.(*net.TCPListener), reads, looks}
+	})
+	c, other := dial(t, n), dial(t, n)
+	for range 2 {
+		wait(t, reads.at, "a read")
+	}
+	c.get("left")
+	c.Close()
+	other.get("other")
+	close(reads.through)
+	for range 2 {
+		wait(t, looks.at, "a look")
+	}
+	third := dial(t, n)
+	for i := range 20 { // time enough for either request, if it did not wait
+		third.get(fmt.Sprint("third-", i))
+		third.want(t, 200, "")
+	}
+	if s.seen() != 20 {
+		t.Errorf("%d requests began, want 20", s.seen())
+	}
+	close(looks.through)
+	other.want(t, 200, "for other")
+	until(t, "the node to notice", func() bool { return n.frontend.callers.held() == 2 })
+	if s.seen() != 21 {
+		t.Errorf("%d requests began, want 21", s.seen())
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,7 +35,36 @@
 	at, deadline                   time.Duration
 	effort                         time.Duration // hinted; 0: not told
 	answer                         chan answer   // takes one answer without blocking
-	gone                           atomic.Bool   // its caller has left: no byte of it is to be sent on any more
+
+	mu     sync.Mutex
+	parted bool // its caller has left, or may have: no attempt of it is to begin any more
+	begun  bool // one has begun
+}
+
+// begin notes that the first byte of an attempt is written next, unless its caller has parted.
+func (c *call) begin(a *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.parted {
+		return false
+	}
+	a.begun, c.begun = true, true
+	return true
+}
+
+// part keeps further attempts from beginning, and tells whether one has begun.
+func (c *call) part() (begun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parted = true
+	return c.begun
+}
+
+// hasBegun says that a byte of an attempt may have been written.
+func (a *attempt) hasBegun() bool {
+	a.call.mu.Lock()
+	defer a.call.mu.Unlock()
+	return a.begun
 }
 
 // answer is the one final answer to a call.
@@ -60,8 +90,10 @@
 type (
 	arrived    struct{ call *call }
 	callerGone struct {
-		call *call
-		at   time.Duration
+		call   *call
+		how    parting
+		at     time.Duration
+		advice time.Duration // when to come back, for a refusal
 	}
 	ended struct {
 		attempt *attempt
@@ -79,6 +111,9 @@
 	attempts []*attempt
 	out      int
 	answered bool
+	parted   parting       // to the module its client has gone, unless this is present
+	advice   time.Duration // for a refusal then
+	ran      bool          // an attempt that has ended may have run
 }
 
 // alarm is a Wake to come.
@@ -194,16 +229,18 @@
 	case callerGone:
 		l.lag(e.at)
 		if p := l.pending[e.call.id]; p != nil && p.call == e.call && !p.answered {
-			l.stats.Gone++
-			p.answered = true
-			l.handle(e.at, woodpick.ClientGone{ID: e.call.id})
-			l.forget(p)
+			l.part(p, e)
 		}
 	case ended:
 		l.lag(e.result.at)
 		l.end(e.attempt, e.result)
 	case lastCall:
 		l.handle(l.clock.now(), woodpick.Closing{})
+		for _, p := range l.pending { // to the module these are answered
+			if p.parted != present && !p.answered {
+				l.conclude(p)
+			}
+		}
 	case listNews:
 		if !e.list.full {
 			l.takeKnown()
@@ -216,23 +253,88 @@
 	}
 }
 
+// part has no further attempt made for a caller that has left, or whose leaving can't be seen: to the
+// module its client has gone. One that has only stopped sending gets the answer of an attempt that has
+// begun, which goes on unless the caller is known to be gone.
+func (l *loop) part(p *pending, e callerGone) {
+	first := p.parted == present
+	p.parted, p.advice = e.how, e.advice
+	if first {
+		l.stats.Gone++
+		l.handle(e.at, woodpick.ClientGone{ID: e.call.id})
+	}
+	if e.how == gone {
+		p.answered = true // nobody reads one
+		l.cancelSpared(p)
+		l.forget(p)
+		return
+	}
+	l.concludeUnlessBegun(p)
+}
+
+// concludeUnlessBegun answers a parted caller unless an attempt may still bring an answer that it reads.
+func (l *loop) concludeUnlessBegun(p *pending) {
+	if p.answered {
+		return
+	}
+	for _, a := range p.attempts {
+		if p.parted == halfClosed && !a.ended && a.hasBegun() {
+			return
+		}
+	}
+	l.conclude(p)
+}
+
+// conclude gives a parted caller the final answer that the module leaves out: a refusal unless an attempt
+// may have run.
+func (l *loop) conclude(p *pending) {
+	ran := p.ran
+	for _, a := range p.attempts {
+		ran = ran || !a.ended && a.hasBegun()
+	}
+	if ran {
+		l.finish(p.call.id, answer{kind: failed})
+	} else {
+		l.finish(p.call.id, answer{kind: refused, retryAfter: p.advice})
+	}
+}
+
+// cancelSpared calls off the attempts that went on for a caller that had only stopped sending.
+func (l *loop) cancelSpared(p *pending) {
+	for _, a := range p.attempts {
+		if a.spared {
+			a.cancel()
+		}
+	}
+}
+
 // end passes on how an attempt ended. The first success is the caller's answer.
 func (l *loop) end(a *attempt, r result) {
 	p := l.pending[a.call.id]
 	l.stats.Endings[r.ending]++
 	p.out--
+	a.ended = true
+	switch r.ending {
+	case woodpick.Unreachable, woodpick.Overloaded, woodpick.Void:
+	default:
+		p.ran = p.ran || a.hasBegun()
+	}
 	if r.ending == woodpick.Success && !p.answered {
 		l.stats.Served++
 		l.answer(p, answer{kind: served, body: r.body, header: r.contentType})
 	}
 	l.handle(r.at, woodpick.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
 		Latency: r.at - a.sent, Ended: p.answered})
+	if p.parted != present {
+		l.concludeUnlessBegun(p)
+	}
 	l.forget(p)
 }
 
 func (l *loop) answer(p *pending, a answer) {
 	p.answered = true
 	p.call.answer <- a
+	l.cancelSpared(p)
 }
 
 // forget drops a call once nothing of it is left, as the module does.
@@ -304,7 +406,7 @@
 			l.send(a)
 		case woodpick.Cancel:
 			if p := l.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
-				p.attempts[a.Attempt].cancel()
+				l.cancel(p, p.attempts[a.Attempt])
 			}
 		case woodpick.Refuse:
 			l.finish(a.ID, answer{kind: refused, retryAfter: a.RetryAfter})
@@ -318,6 +420,13 @@
 	}
 }
 
+// cancel calls an attempt off, or later if its caller may still read what it brings.
+func (l *loop) cancel(p *pending, a *attempt) {
+	if a.spared = p.parted == halfClosed && a.hasBegun(); !a.spared {
+		a.cancel()
+	}
+}
+
 func (l *loop) send(s woodpick.Send) {
 	p := l.pending[s.ID]
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,7 +85,7 @@
 	l := newLoop(balancer, clock, log)
 	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg), drainMost: drainMost(cfg),
 		backend: newBackend(cfg, clock, room/2)}
-	callers := newCallers(clock, room, reserved/2, n.backend.connections)
+	callers := newCallers(clock, room, reserved/2, int64(cfg.MemoryMB)<<20, n.backend.connections)
 	n.frontend = newFrontend(cfg, clock, callers, l.post, l.ready.Load, log)
 	l.sockets = func() []any {
 		c, held := callers.report()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -840,7 +840,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	f := newCallers(newClock(), 2, 10, func() int { return 1 })
+	f := newCallers(newClock(), 2, 10, 16<<20, func() int { return 1 })
 	pair := func() (ours *callerConn, theirs net.Conn) {
 		theirs, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
@@ -910,7 +910,7 @@
 		t.Fatal(err)
 	}
 	defer theirs.Close()
-	f := newCallers(newClock(), 2, 10, func() int { return 1 })
+	f := newCallers(newClock(), 2, 10, 16<<20, func() int { return 1 })
 	nc, err := (&callerListener{Listener: ln, callers: f}).Accept()
 	if err != nil {
 		t.Fatal(err)
