Wait before discovery that failed at once is asked again

Cause: where lists are asked for, the wait after a failed call was the module's alone, a part of ask-within-ms. With that absent or tiny it is next to nothing, and a refused call ends at once: one followed on the other without end.

Change: ask waits for soundAgain (100 ms), or until the watch moves, before it heeds the next Subscribe.

Shown to fail: with the wait taken as 0, all three rows of TestRefusedDiscoveryIsNotAskedInAHotLoop; without the cap of AskWithin at toldLatest (node.go), TestLostCallIsMadeUpForInTime.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,7 +18,13 @@
 	"woodpick"
 )
 
-// Times of a watch. An agent that is silent answers nothing, not even once it is back, so a call is given
+// Times of a watch. The worst that they make of a call that was lost comes to less than toldLatest: from the
+// moment when discovery falls silent, the call is given up on after hold and grace; a dial and a head that
+// never come cost soundWait and soundAgain once more where lists are pushed; where they are asked for, at
+// most soundAgain or a quarter of ask-within-ms (6 s at the most) goes by before the next call, whichever
+// is longer. TestLostCallIsMadeUpForInTime adds them up.
+//
+// An agent that is silent answers nothing, not even once it is back, so a call is given
 // up on a little after its hold is over. Where lists are pushed, what the agent gets at discovery's return
 // counts as told at once, and servers that drain must be left alone 250 ms later: the hold is shorter than
 // an outage, so that one is noticed before it is over, and from then on the agent, which is local and
@@ -109,6 +115,7 @@
 	hold   time.Duration
 	grace  time.Duration
 	first  time.Duration
+	after  func(time.Duration) <-chan time.Time // time.After: what goes by after a call that failed
 
 	mu sync.Mutex
 	at *place // where the list is watched now
@@ -133,7 +140,7 @@
 
 func newDiscovery(cfg Config, rev int64, post func(event), log *slog.Logger) *discovery {
 	d := &discovery{post: post, log: log, at: newPlace(cfg.Discovery, rev), wanted: make(chan struct{}, 1),
-		hold: askHold, grace: askGrace, first: firstWait}
+		hold: askHold, grace: askGrace, first: firstWait, after: time.After}
 	if !cfg.Settings.AskDiscovery {
 		d.hold, d.grace = pushHold, pushGrace
 		// The agent may hold more than the node last had, from the process's first moment on; and the
@@ -199,7 +206,7 @@
 		select {
 		case <-ctx.Done():
 		case <-p.ctx.Done():
-		case <-time.After(soundAgain):
+		case <-d.after(soundAgain):
 		}
 	}
 }
@@ -225,7 +232,9 @@
 	return false
 }
 
-// ask serves Subscribes until ctx ends: a watch that goes on until it fails, which is reported once.
+// ask serves Subscribes until ctx ends: a watch that goes on until it fails, which is reported once. What the
+// module waits for then is a part of ask-within-ms, which may be next to nothing, and a refused call ends at
+// once: so that no two follow each other at once, the next one waits for soundAgain, or until the watch moves.
 func (d *discovery) ask(ctx context.Context) {
 	for {
 		select {
@@ -240,6 +249,11 @@
 					d.log.Warn("the subscription failed", "error", err)
 					d.post(listFailed{})
 				}
+				select {
+				case <-ctx.Done():
+				case <-p.ctx.Done():
+				case <-d.after(soundAgain):
+				}
 				break
 			}
 		}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -181,3 +182,80 @@
 		}
 	}
 }
+
+// A discovery that refuses is not asked again before a least wait is over, however little the settings have a
+// node wait, and at once if the watch moves meanwhile.
+func TestRefusedDiscoveryIsNotAskedInAHotLoop(t *testing.T) {
+	for _, within := range []time.Duration{0, time.Millisecond, time.Hour} {
+		t.Run(fmt.Sprint(within), func(t *testing.T) {
+			cfg := testConfig(whole())
+			cfg.Discovery, cfg.Settings.AskDiscovery, cfg.Settings.AskWithin = closedPort(t), true, within
+			dials, waits := make(chan struct{}, 1000), make(chan time.Duration, 1000)
+			clock := make(chan time.Time)
+			n, _ := startNode(t, cfg, func(n *Node) {
+				n.discovery.after = func(d time.Duration) <-chan time.Time {
+					waits <- d
+					return clock
+				}
+				n.discovery.place().client.Transport.(*http.Transport).DialContext =
+					func(context.Context, string, string) (net.Conn, error) {
+						dials <- struct{}{}
+						return nil, syscall.ECONNREFUSED
+					}
+			})
+			n.discovery.subscribe()
+			for range 5 {
+				wait(t, dials, "a call")
+				if d := wait(t, waits, "the wait"); d != soundAgain {
+					t.Errorf("waits for %v, want %v", d, soundAgain)
+				}
+				n.discovery.subscribe()
+				until(t, "the failure to be taken", func() bool { return len(n.loop.events) == 0 })
+				if len(dials) != 0 {
+					t.Fatal("asked before the wait was over")
+				}
+				clock <- time.Time{}
+			}
+			wait(t, waits, "the wait")
+			ag := newAgent(t)
+			ag.tell(false, whole())
+			n.discovery.move(ag.Addr().String())
+			wait(t, ag.asked, "the call after the move")
+		})
+	}
+}
+
+// Whatever a call was lost by, and whatever the settings say, the next one is made early enough for what it
+// brings to be known before it counts as told.
+func TestLostCallIsMadeUpForInTime(t *testing.T) {
+	for _, within := range []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond, time.Second,
+		6 * time.Second, 10 * time.Second, time.Hour} {
+		for _, asked := range []bool{false, true} {
+			for failures := range 6 {
+				cfg := testConfig(whole())
+				cfg.Settings.AskDiscovery, cfg.Settings.AskWithin = asked, within
+				n, err := New(cfg, testLog())
+				if err != nil {
+					t.Fatal(err)
+				}
+				n.listener.Close()
+				d, again := n.discovery, soundAgain
+				if asked {
+					for range failures {
+						n.loop.take(listFailed{})
+					}
+					before := n.loop.clock.now()
+					n.loop.take(listFailed{})
+					for _, a := range n.loop.alarms {
+						again = max(again, a.at-before)
+					}
+				}
+				// The call that is lost, the wait, a dial that never comes up and its wait, and the next call.
+				worst := d.hold + d.grace + again + agentDial + again + soundWait
+				if worst >= toldLatest {
+					t.Errorf("asked %v, ask-within %v, after %d failures: %v", asked, within, failures, worst)
+				}
+			}
+		}
+	}
+}
