Give each faulty agent an address of its own, so that no other test takes its port

A row that has its agent refuse closes the agent's port and listens there again: another test's server could have been given that port meanwhile. Found by reading; it has not failed so in a run.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -26,9 +27,13 @@
 // faults are the ways in which a call fails, but for being refused.
 var faults = []string{"silent", "reset", "status 500", "half, then silent", "half, then closed", "spoilt", "drips"}
 
+// faultyAgents numbers them: each has an address of its own, so that nobody takes its port while it is closed.
+var faultyAgents atomic.Int32
+
 func newFaultyAgent(t *testing.T) *faultyAgent {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	i := faultyAgents.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", i/250, 1+i%250))
 	if err != nil {
 		t.Fatal(err)
 	}
