Put a new configuration in force without a restart

Cause: on SIGHUP only discovery's address took force; every other change "waits for the next start", so a class that the new file adds was answered 404 until the node was restarted.

Change: Reload hands the settings to the loop, which gives them to the module as an event (Reconfigure) and then lets the callers' checks go by them, under a revision. A request keeps the class that it came with, so effect, scope, window and deadline stay as promised; what was learned of a class of the same name, and the servers' health, warmth and counts, stay. A request that was checked before and gets to the module after is checked again. Connections' times and the end of the node follow; listen, limits and registry-mode wait for the next start and are named. The log gives the revision, what changed, and when it was in force. A file that brings the same settings gives the module no event.

--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -111,27 +111,49 @@
 // backend runs attempts over pools of kept connections, the last used first of those that have rested. http.Transport would
 // send some requests again by itself, and does not tell whether the last byte was written.
 type backend struct {
-	clock   clock
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	clock clock
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	most  int        // connections open or being opened
+	left  func() int // for how many callers leave descriptors
+
+	mu      sync.Mutex
+	dialFor time.Duration // that a connection may take to come up
 	idleFor time.Duration
 	restFor time.Duration
-	most    int        // connections open or being opened
-	left    func() int // for how many callers leave descriptors
-
-	mu   sync.Mutex
-	idle map[host][]*conn // the oldest first
-	open int
-	made int
-	seen map[string]target // the listed servers by uid
+	idle    map[host][]*conn // the oldest first
+	open    int
+	made    int
+	seen    map[string]target // the listed servers by uid
 }
 
 func newBackend(cfg Config, c clock, most int) *backend {
-	dialer := net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}
-	return &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{}, dial: dialer.DialContext,
-		left:    func() int { return most },
-		restFor: min(restFor, cfg.ConnIdle/4),
-		// Closed a little before the server does, or a request might cross its close and end as a reset.
-		idleFor: cfg.ConnIdle - cfg.ConnIdle/10}
+	b := &backend{clock: c, most: most, idle: map[host][]*conn{}, seen: map[string]target{},
+		left: func() int { return most }}
+	b.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		b.mu.Lock()
+		dialer := net.Dialer{Timeout: b.dialFor, KeepAlive: -1}
+		b.mu.Unlock()
+		return dialer.DialContext(ctx, network, address)
+	}
+	b.configure(cfg)
+	return b
+}
+
+// configure takes over the times for connections; those that are open or being opened go by what they had.
+func (b *backend) configure(cfg Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dialFor = cfg.ConnectTimeout
+	b.restFor = min(restFor, cfg.ConnIdle/4)
+	// Closed a little before the server does, or a request might cross its close and end as a reset.
+	b.idleFor = cfg.ConnIdle - cfg.ConnIdle/10
+}
+
+// sweepEvery is how often idle connections are looked at.
+func (b *backend) sweepEvery() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.idleFor/20, time.Millisecond)
 }
 
 // errNoRoom says that the node is out of descriptors, which is no server's fault.
@@ -551,13 +573,9 @@
 
 // sweep closes connections that have been idle for too long, until ctx ends.
 func (b *backend) sweep(ctx context.Context) {
-	every := time.NewTicker(max(b.idleFor/20, time.Millisecond))
-	defer every.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		if sleep(ctx, b.sweepEvery()); ctx.Err() != nil {
 			return
-		case <-every.C:
 		}
 		b.mu.Lock()
 		for _, free := range b.idle {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -34,21 +34,17 @@
 	clock    clock
 	post     func(event)
 	ready    func() bool
-	classes  map[string]woodpick.Class
+	rules    *atomic.Pointer[rules]
 	draining atomic.Bool // unready
 	closing  atomic.Bool // each answer closes its connection
 	server   *http.Server
-	advice   time.Duration // when to come back after a refusal for want of descriptors; 0: clients take none
 
 	callers *callers
 }
 
-func newFrontend(cfg Config, c clock, callers *callers, post func(event), ready func() bool, log *slog.Logger) *frontend {
-	f := &frontend{clock: c, post: post, ready: ready, callers: callers, classes: map[string]woodpick.Class{},
-		advice: min(cfg.Settings.MaxRetryAfter, max(cfg.Settings.Tick, time.Millisecond))}
-	for _, class := range cfg.Settings.Classes {
-		f.classes[class.Name] = class
-	}
+func newFrontend(c clock, callers *callers, rules *atomic.Pointer[rules], post func(event), ready func() bool,
+	log *slog.Logger) *frontend {
+	f := &frontend{clock: c, post: post, ready: ready, callers: callers, rules: rules}
 	f.server = &http.Server{
 		Handler:                      f,
 		ReadTimeout:                  readTimeout,
@@ -62,6 +58,37 @@
 	return f
 }
 
+// rules are what requests are checked against: the part of one revision of the settings that callers see.
+type rules struct {
+	revision int // of the configuration, 1 being the one that the node started with
+	classes  map[string]woodpick.Class
+	advice   time.Duration // when to come back after a refusal for want of descriptors; 0: clients take none
+}
+
+func newRules(revision int, set woodpick.Settings) *rules {
+	r := &rules{revision: revision, classes: map[string]woodpick.Class{},
+		advice: min(set.MaxRetryAfter, max(set.Tick, time.Millisecond))}
+	for _, class := range set.Classes {
+		r.classes[class.Name] = class
+	}
+	return r
+}
+
+// admit tells what is wrong with a request in the class that it names, and notes the revision that it fits.
+func (r *rules) admit(c *call) *rejected {
+	class, known := r.classes[c.class]
+	switch {
+	case !known:
+		return &rejected{http.StatusNotFound, "the path names no class"}
+	case (class.Effect == woodpick.Safe) != (c.method == http.MethodGet):
+		return &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
+	case (c.key != "") != (class.Effect == woodpick.Keyed):
+		return &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class"}
+	}
+	c.revision = r.revision
+	return nil
+}
+
 // health tells the front whether to send callers here.
 func (f *frontend) health(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -106,7 +133,7 @@
 	// A caller that has left, or whose leaving can't be seen, has nothing begun for it: what it sent ahead
 	// is refused in turn. One that has only stopped sending may read that.
 	if conn.settle() != present || !f.callers.open(conn) {
-		f.write(w, answer{kind: refused, retryAfter: f.advice})
+		f.write(w, answer{kind: refused, retryAfter: f.rules.Load().advice})
 		return
 	}
 	f.post(arrived{c})
@@ -133,7 +160,7 @@
 		}
 		told = how
 		begun := c.part()
-		f.post(callerGone{call: c, how: how, at: f.clock.now(), advice: f.advice})
+		f.post(callerGone{call: c, how: how, at: f.clock.now(), advice: f.rules.Load().advice})
 		switch {
 		case how == gone:
 			return answer{}, false
@@ -176,8 +203,8 @@
 // and the module would take that for their ill health.
 func (f *frontend) check(c *call, r *http.Request) error {
 	path, _, _ := strings.Cut(c.target, "?")
-	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, known := f.classes[name]
+	c.class, _, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	rules := f.rules.Load()
 	wait, err := parseWait(r.Header["X-Deadline"])
 	keyed := len(r.Header["Idempotency-Key"])
 	switch {
@@ -187,24 +214,27 @@
 		// net/http drops a Content-Length beside it, so a request hidden in the body would pass on
 		// unseen. The protocol has lengths only.
 		return &rejected{http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding"}
-	case !strings.HasPrefix(path, "/") || !known:
+	case !strings.HasPrefix(path, "/"):
 		return &rejected{http.StatusNotFound, "the path names no class"}
-	case (class.Effect == woodpick.Safe) != (c.method == http.MethodGet):
-		return &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
-	case keyed > 1 || (keyed == 1) != (class.Effect == woodpick.Keyed) || keyed == 1 && c.key == "":
-		return &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class, or comes twice"}
+	case keyed > 1 || keyed == 1 && c.key == "":
+		return &rejected{http.StatusBadRequest, "Idempotency-Key is empty or comes twice"}
+	}
+	if no := rules.admit(c); no != nil {
+		return no
+	}
+	switch {
 	case c.id == "" || len(c.id) > maxID || len(r.Header["X-Request-Id"]) > 1:
 		return &rejected{http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice"}
 	case err != nil:
 		return &rejected{http.StatusBadRequest, err.Error()}
-	case wait > deadlineSlack*class.Deadline:
+	case wait > deadlineSlack*rules.classes[c.class].Deadline:
 		return &rejected{http.StatusBadRequest, "X-Deadline is far beyond the class's"}
 	case r.ContentLength > maxBody:
 		return &rejected{http.StatusRequestEntityTooLarge, "the body is too long"}
 	case r.ContentLength > 0 && c.method == http.MethodGet:
 		return &rejected{http.StatusBadRequest, "GET has no body"}
 	}
-	c.class, c.deadline, c.effort = name, wait, parseHint(r.Header.Get("X-Cost-Hint"))
+	c.deadline, c.effort = wait, parseHint(r.Header.Get("X-Cost-Hint"))
 	return nil
 }
 
@@ -256,6 +286,8 @@
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 	case failed:
 		http.Error(w, "failed", http.StatusBadGateway)
+	case unfit:
+		http.Error(w, a.reason.Error(), a.reason.status)
 	case duplicate:
 		http.Error(w, "X-Request-Id is in use", http.StatusConflict)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -34,6 +34,7 @@
 	body                           []byte
 	at, deadline                   time.Duration
 	effort                         time.Duration // hinted; 0: not told
+	revision                       int           // of the rules that it was checked against
 	answer                         chan answer   // takes one answer without blocking
 
 	mu     sync.Mutex
@@ -73,6 +74,7 @@
 	body       []byte // for served
 	header     string // for served: the Content-Type
 	retryAfter time.Duration
+	reason     *rejected // for unfit
 }
 
 type answerKind int
@@ -82,6 +84,7 @@
 	refused
 	failed
 	duplicate // the id is in use
+	unfit     // new rules came between its check and the module
 )
 
 // event is what the other parts tell the loop: one of the types below.
@@ -99,10 +102,15 @@
 		attempt *attempt
 		result  result
 	}
-	listNews   struct{ list list }
-	listFailed struct{}
-	listLate   struct{} // discovery says nothing: the list that the node last had must do
-	lastCall   struct{} // the node ends: what is unanswered is answered now
+	listNews    struct{ list list }
+	listFailed  struct{}
+	listLate    struct{} // discovery says nothing: the list that the node last had must do
+	newSettings struct {
+		settings woodpick.Settings
+		rules    *rules
+		inForce  func(at time.Duration)
+	}
+	lastCall struct{} // the node ends: what is unanswered is answered now
 )
 
 // pending is a call that the module still knows: unanswered, or with attempts out.
@@ -155,6 +163,7 @@
 	push      bool                 // lists are pushed
 	sockets   func() []any         // more for the log's report
 	log       *slog.Logger
+	rules     atomic.Pointer[rules] // as the module has them; set by the loop alone once it runs
 
 	now     time.Duration
 	pending map[string]*pending
@@ -222,6 +231,13 @@
 			e.call.answer <- answer{kind: duplicate}
 			return
 		}
+		// Callers' goroutines check by the rules that they find; the module knows only those in force now.
+		if rules := l.rules.Load(); e.call.revision != rules.revision {
+			if no := rules.admit(e.call); no != nil {
+				e.call.answer <- answer{kind: unfit, reason: no}
+				return
+			}
+		}
 		l.stats.Requests++
 		l.pending[e.call.id] = &pending{call: e.call}
 		l.handle(e.call.at, woodpick.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline,
@@ -234,6 +250,10 @@
 	case ended:
 		l.lag(e.result.at)
 		l.end(e.attempt, e.result)
+	case newSettings:
+		l.handle(l.clock.now(), woodpick.Reconfigure{Settings: e.settings})
+		l.rules.Store(e.rules)
+		e.inForce(l.clock.now())
 	case lastCall:
 		l.handle(l.clock.now(), woodpick.Closing{})
 		for _, p := range l.pending { // to the module these are answered
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"sync"
 	"time"
 
 	"woodpick"
@@ -57,11 +60,14 @@
 	backend   *backend
 	discovery *discovery
 	listener  net.Listener
-	cfg       Config // as started with
 	push      bool
+	log       *slog.Logger
+
+	mu        sync.Mutex // what Reload changes
+	cfg       Config
+	revision  int
 	ending    ending
 	drainMost time.Duration
-	log       *slog.Logger
 }
 
 // Limit keeps the process within its core and its memory.
@@ -70,12 +76,17 @@
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 }
 
-// New puts a node together and begins to listen. Nothing is served before Run.
-func New(cfg Config, log *slog.Logger) (*Node, error) {
+// moduleSettings are the settings as the module is told them. Its waits between calls for the list are parts of
+// AskWithin; no call may wait past the time when a change counts as told whether heard or not.
+func moduleSettings(cfg Config) woodpick.Settings {
 	set := cfg.Settings
-	// Its waits between calls for the list are parts of this; no call may wait past the time when a change
-	// counts as told whether heard or not.
 	set.AskWithin = min(set.AskWithin, toldLatest)
+	return set
+}
+
+// New puts a node together and begins to listen. Nothing is served before Run.
+func New(cfg Config, log *slog.Logger) (*Node, error) {
+	set := moduleSettings(cfg)
 	balancer, err := woodpick.New(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
@@ -83,11 +94,12 @@
 	room := cfg.Sockets - reserved
 	clock := newClock()
 	l := newLoop(balancer, clock, log)
-	n := &Node{cfg: cfg, loop: l, log: log, push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg), drainMost: drainMost(cfg),
+	l.rules.Store(newRules(1, set))
+	n := &Node{cfg: cfg, revision: 1, loop: l, log: log, push: !cfg.Settings.AskDiscovery, ending: endingOf(cfg), drainMost: drainMost(cfg),
 		backend: newBackend(cfg, clock, room/2)}
 	callers := newCallers(clock, room, reserved/2, int64(cfg.MemoryMB)<<20, n.backend.connections)
 	n.backend.left = callers.left
-	n.frontend = newFrontend(cfg, clock, callers, l.post, l.ready.Load, log)
+	n.frontend = newFrontend(clock, callers, &l.rules, l.post, l.ready.Load, log)
 	l.sockets = func() []any {
 		c, held := callers.report()
 		return []any{"callers", held, "accepted", c.Accepted, "let_go", c.LetGo, "crowded", c.Crowded,
@@ -123,22 +135,74 @@
 // Addr is where the node listens.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
-// Reload takes over what may change in a running node: where discovery is. The module, the callers and
-// the connections to servers stay as they are.
+// Reload puts a configuration in force in a running node: all that the module, the checks on requests, the
+// connections to servers and discovery go by. Requests already taken keep what their clients were promised,
+// and what was learned of servers stays. It says what has to wait for the next start, and it returns before
+// the module has the new settings: the log tells when.
 func (n *Node) Reload(cfg Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, f := range []struct {
 		name    string
 		changed bool
 	}{
-		{"listen", cfg.Listen != n.cfg.Listen}, {"limits", cfg.Sockets != n.cfg.Sockets || cfg.MemoryMB != n.cfg.MemoryMB},
-		{"settings", !reflect.DeepEqual(cfg.Settings, n.cfg.Settings)},
+		{"listen", cfg.Listen != n.cfg.Listen},
+		{"limits", cfg.Sockets != n.cfg.Sockets || cfg.MemoryMB != n.cfg.MemoryMB},
+		{"settings.registry-mode", cfg.Settings.AskDiscovery != n.cfg.Settings.AskDiscovery},
 	} {
 		if f.changed {
 			n.log.Warn("a change in the configuration waits for the next start", "field", f.name)
 		}
 	}
-	n.log.Info("the configuration is read again", "discovery", cfg.Discovery)
+	cfg.Listen, cfg.Sockets, cfg.MemoryMB = n.cfg.Listen, n.cfg.Sockets, n.cfg.MemoryMB
+	cfg.Settings.AskDiscovery = n.cfg.Settings.AskDiscovery
+	changed, same := changes(n.cfg, cfg), reflect.DeepEqual(n.cfg.Settings, cfg.Settings)
+	n.revision++
+	log := n.log.With("revision", n.revision, "changed", changed)
+	log.Info("the configuration is read again", "discovery", cfg.Discovery)
+	since := n.loop.clock.now()
+	n.cfg, n.ending, n.drainMost = cfg, endingOf(cfg), drainMost(cfg)
+	n.backend.configure(cfg)
 	n.discovery.move(cfg.Discovery)
+	if !same {
+		set := moduleSettings(cfg)
+		n.loop.post(newSettings{settings: set, rules: newRules(n.revision, set), inForce: func(at time.Duration) {
+			log.Info("the configuration is in force", "after", at-since)
+		}})
+	}
+}
+
+// changes names what differs between two configurations, of all that takes force at once.
+func changes(old, cfg Config) (names []string) {
+	was, is := reflect.ValueOf(old.Settings), reflect.ValueOf(cfg.Settings)
+	for i := range was.NumField() {
+		name := was.Type().Field(i).Name
+		if name != "Classes" && !reflect.DeepEqual(was.Field(i).Interface(), is.Field(i).Interface()) {
+			names = append(names, name)
+		}
+	}
+	classes := map[string]woodpick.Class{}
+	for _, c := range old.Settings.Classes {
+		classes[c.Name] = c
+	}
+	for _, c := range cfg.Settings.Classes {
+		if before, had := classes[c.Name]; !had {
+			names = append(names, "class "+c.Name+" comes")
+		} else if before != c {
+			names = append(names, "class "+c.Name)
+		}
+		delete(classes, c.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(classes)) {
+		names = append(names, "class "+name+" goes")
+	}
+	if old.ConnIdle != cfg.ConnIdle || old.ConnectTimeout != cfg.ConnectTimeout {
+		names = append(names, "connections to servers")
+	}
+	if old.Discovery != cfg.Discovery {
+		names = append(names, "discovery")
+	}
+	return names
 }
 
 // Run serves until ctx ends, and then until all that was taken is answered.
@@ -161,9 +225,12 @@
 	case <-ctx.Done():
 	}
 	n.log.Info("draining")
-	limit, cancel := context.WithTimeout(inner, n.drainMost)
+	n.mu.Lock()
+	most, ending := n.drainMost, n.ending
+	n.mu.Unlock()
+	limit, cancel := context.WithTimeout(inner, most)
 	defer cancel()
-	if err := n.frontend.drain(limit, ln, gone, n.ending); err != nil {
+	if err := n.frontend.drain(limit, ln, gone, ending); err != nil {
 		return fmt.Errorf("node: drain: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"woodpick"
+)
+
+// reload puts a configuration in force and waits until it is.
+func reload(t *testing.T, n *Node, cfg Config) {
+	t.Helper()
+	n.Reload(cfg)
+	n.mu.Lock()
+	revision := n.revision
+	n.mu.Unlock()
+	until(t, "the new settings", func() bool { return n.loop.rules.Load().revision == revision })
+}
+
+// with is a configuration with other classes.
+func with(cfg Config, change func(classes []woodpick.Class) []woodpick.Class) Config {
+	cfg.Settings.Classes = change(slices.Clone(cfg.Settings.Classes))
+	return cfg
+}
+
+// scripted is a server that holds each request until it is told whether to answer or to reset.
+type scripted struct {
+	*fakeServer
+	came chan string
+	then chan bool
+}
+
+func newScripted(t *testing.T) scripted {
+	s := scripted{came: make(chan string, 100), then: make(chan bool, 100)}
+	s.fakeServer = newServer(t, func(c net.Conn, r *http.Request, body string) bool {
+		s.came <- r.Header.Get("X-Request-Id")
+		if <-s.then {
+			return echo(c, r, body)
+		}
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	return s
+}
+
+// New settings are in force for what comes after them, and what was taken before keeps its promise: an attempt
+// that is reset is made again only where the class that its client knew permits it.
+func TestNewSettingsTakeForceBesideRequestsThatKeepTheirs(t *testing.T) {
+	view := func(change func(c *woodpick.Class)) func([]woodpick.Class) []woodpick.Class {
+		return func(l []woodpick.Class) []woodpick.Class { change(&l[0]); return l }
+	}
+	for name, row := range map[string]struct {
+		change  func([]woodpick.Class) []woodpick.Class
+		method  string // of the request before, to the class view or note
+		again   bool   // it is sent again after a reset, and served
+		status  int    // of the same request after
+		servers int    // that it gets to, then
+	}{
+		"a class goes": {func(l []woodpick.Class) []woodpick.Class { return l[1:] }, "GET", true, 404, 0},
+		"a class becomes unsafe": {view(func(c *woodpick.Class) { c.Effect = woodpick.Unsafe }),
+			"GET", true, 405, 0},
+		"a class becomes keyed": {view(func(c *woodpick.Class) { c.Effect = woodpick.Keyed }), "GET", true, 405, 0},
+		"an unsafe class becomes safe": {func(l []woodpick.Class) []woodpick.Class { l[1].Effect = woodpick.Safe; return l },
+			"POST", false, 405, 0},
+		"a deadline shrinks": {view(func(c *woodpick.Class) { c.Deadline = 20 * time.Second }), "GET", true, 400, 0},
+		"an aim changes":     {view(func(c *woodpick.Class) { c.Aim = time.Second }), "GET", true, 200, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			one, two := newScripted(t), newScripted(t)
+			cfg := testConfig(whole(entry("s1", one.addr(), "in_service"), entry("s2", two.addr(), "in_service")))
+			n, _ := startNode(t, cfg, nil)
+			next := func(id string) scripted {
+				select {
+				case got := <-one.came:
+					if got != id {
+						t.Errorf("got %q, want %q", got, id)
+					}
+					return one
+				case <-two.came:
+					return two
+				case <-time.After(limit):
+					t.Fatalf("%s comes to no server", id)
+				}
+				return one
+			}
+			target, body := "/view/k", ""
+			if row.method == "POST" {
+				target, body = "/note/k", "body"
+			}
+			c := dial(t, n)
+			c.send(row.method, target, "before", body, "60")
+			first := next("before")
+			reload(t, n, with(cfg, row.change))
+			first.then <- false
+			if row.again {
+				next("before").then <- true
+				c.want(t, 200, "for before")
+			} else {
+				c.want(t, 502, "")
+			}
+			c = dial(t, n)
+			c.send(row.method, target, "after", body, "60")
+			if row.servers > 0 {
+				next("after").then <- true
+			}
+			c.want(t, row.status, "")
+			if got := one.seen() + two.seen(); got != row.servers+1+map[bool]int{true: 1}[row.again] {
+				t.Errorf("the servers got %d requests", got)
+			}
+		})
+	}
+}
+
+// A class that comes is served at once, and one that goes is answered as unknown, on a connection that stays.
+func TestClassesComeAndGo(t *testing.T) {
+	s := newServer(t, echo)
+	cfg := testConfig(whole(entry("s1", s.addr(), "in_service")))
+	n, _ := startNode(t, cfg, nil)
+	more := with(cfg, func(l []woodpick.Class) []woodpick.Class {
+		return append(l, woodpick.Class{Name: "extra", Effect: woodpick.Safe, Aim: limit, Deadline: 2 * limit})
+	})
+	for range 3 {
+		c := dial(t, n)
+		c.send("GET", "/extra/k", "early", "", "60")
+		c.want(t, 404, "")
+		reload(t, n, more)
+		c = dial(t, n)
+		c.send("GET", "/extra/k", "there", "", "60")
+		c.want(t, 200, "for there")
+		reload(t, n, cfg)
+	}
+}
+
+// A request is checked by its connection's goroutine, and new settings may come before it gets to the module:
+// then it is checked again, or a class that the module no longer knows would go on to a server as an unsafe
+// one, and one that is keyed by now would be repeated without its key.
+func TestRequestsCheckedBeforeNewSettingsAreCheckedAgain(t *testing.T) {
+	for name, row := range map[string]struct {
+		change func([]woodpick.Class) []woodpick.Class
+		status int
+	}{
+		"gone":   {func(l []woodpick.Class) []woodpick.Class { return l[:1] }, 404},
+		"keyed":  {func(l []woodpick.Class) []woodpick.Class { l[1].Effect = woodpick.Keyed; return l }, 400},
+		"safe":   {func(l []woodpick.Class) []woodpick.Class { l[1].Effect = woodpick.Safe; return l }, 405},
+		"longer": {func(l []woodpick.Class) []woodpick.Class { l[1].Deadline *= 2; return l }, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newServer(t, echo)
+			cfg := testConfig(whole(entry("s1", s.addr(), "in_service")))
+			n, _ := startNode(t, cfg, nil)
+			until(t, "readiness", func() bool { return isReady(t, n) })
+			held, release := make(chan struct{}), make(chan struct{})
+			free := sync.OnceFunc(func() { close(release) })
+			defer free()
+			n.loop.post(newSettings{settings: moduleSettings(cfg), rules: newRules(1, cfg.Settings),
+				inForce: func(time.Duration) { close(held); <-release }})
+			wait(t, held, "the loop to be held")
+			n.Reload(with(cfg, row.change))
+			c := dial(t, n)
+			c.send("POST", "/note/k", "crossing", "body", "60")
+			until(t, "the request to be on its way to the module", func() bool { return len(n.loop.events) == 2 })
+			free()
+			c.want(t, row.status, "")
+			if want := map[bool]int{true: 1}[row.status == 200]; s.seen() != want {
+				t.Errorf("the server got %d requests, want %d", s.seen(), want)
+			}
+		})
+	}
+}
+
+// What can't change in a running node stays as it is, whatever the file says, and the rest of it takes force.
+func TestReloadKeepsWhatCantChange(t *testing.T) {
+	cfg := testConfig(whole())
+	n, _ := startNode(t, cfg, nil)
+	other := cfg
+	other.Listen, other.Sockets, other.MemoryMB = "127.0.0.1:1", 64, 16
+	other.Settings.AskDiscovery, other.Settings.MaxRetryAfter = true, time.Hour
+	other.ConnIdle, other.ConnectTimeout = time.Second, 3*time.Second
+	reload(t, n, other)
+	n.mu.Lock()
+	kept := n.cfg
+	n.mu.Unlock()
+	if kept.Listen != cfg.Listen || kept.Sockets != cfg.Sockets || kept.MemoryMB != cfg.MemoryMB || kept.Settings.AskDiscovery {
+		t.Errorf("got %+v", kept)
+	}
+	n.backend.mu.Lock()
+	defer n.backend.mu.Unlock()
+	if n.backend.idleFor >= time.Second || n.backend.dialFor != 3*time.Second {
+		t.Errorf("connections stay for %v, and are made in %v", n.backend.idleFor, n.backend.dialFor)
+	}
+}
+
+func TestChangesNamesWhatDiffers(t *testing.T) {
+	cfg := testConfig(whole())
+	other := with(cfg, func(l []woodpick.Class) []woodpick.Class {
+		l[0].Aim++
+		return append(l[:2], woodpick.Class{Name: "extra"})
+	})
+	other.Settings.MaxAttempts++
+	other.Discovery = "127.0.0.1:2"
+	want := "MaxAttempts, class view, class extra comes, class keyed goes, discovery"
+	if got := strings.Join(changes(cfg, other), ", "); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := changes(cfg, cfg); len(got) > 0 {
+		t.Errorf("got %q of the same", got)
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -1,5 +1,5 @@
-// Every decision of woodpick but admission, which is in admission.go, and slow start, which is in
-// slowstart.go. The interface (settings, events, actions) is in woodpick.go.
+// Every decision of woodpick but admission (admission.go), slow start (slowstart.go) and what follows from
+// new settings (reconfigure.go). The interface (settings, events, actions) is in woodpick.go.
 //
 // Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
 // further attempts, answers.
@@ -88,9 +88,15 @@
 	subWanted time.Duration
 }
 
-// class holds what was learned of a class.
+// class is a class as the settings had it when its requests were taken, and what was learned of it, which
+// outlives those settings.
 type class struct {
 	Class
+	*learned
+}
+
+// learned is what was learned of a class.
+type learned struct {
 	mean, dev     float64 // latency of successes, in ns
 	base          float64 // what mean was when there was most room
 	failing       float64 // share of its attempts that fail
@@ -120,7 +126,7 @@
 	out      bool          // ruled out for the request at hand
 	pooled   bool          // in this node's pool
 	credit   credit        // to send to it while it is cold
-	failing  map[*class]fading
+	failing  map[*learned]fading
 }
 
 // fading is a share that is the less sure the longer ago it was seen.
@@ -162,26 +168,16 @@
 
 // New returns a Balancer that knows no servers yet. The error names the setting at fault.
 func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := validate(set); err != nil {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2}
-	for _, c := range set.Classes {
-		b.addClass(c)
-	}
-	odd := slices.MaxFunc(set.Classes, func(a, b Class) int { return cmp.Compare(a.Deadline, b.Deadline) })
-	b.addClass(Class{Aim: odd.Aim, Deadline: odd.Deadline, Worth: odd.Worth})
+		errors: 0.02, tokens: retryPurse / 2}
+	b.take(set)
 	return b, nil
 }
 
-func (b *Balancer) addClass(c Class) {
-	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8, base: float64(c.Aim) / 4}
-	b.classes[c.Name] = k
-	b.order = append(b.order, k)
-}
-
 // ---- Events ----
 
 // Handle takes one event at the clock time now and returns what to do, in order.
@@ -211,6 +207,8 @@
 		for _, r := range b.unanswered() {
 			b.answer(r)
 		}
+	case Reconfigure:
+		b.reconfigure(e.Settings)
 	case Timer:
 		b.takeTimer(e)
 	}
@@ -262,10 +260,10 @@
 	for _, n := range e.Servers {
 		s := b.servers[n.ID]
 		if s == nil {
-			s = &server{failing: map[*class]fading{}}
+			s = &server{failing: map[*learned]fading{}}
 			b.servers[n.ID] = s
 		} else if s.Boot != n.Boot {
-			*s = server{calls: s.calls, open: s.open, failing: map[*class]fading{}}
+			*s = server{calls: s.calls, open: s.open, failing: map[*learned]fading{}}
 		}
 		s.Server = n
 		s.listed = n.State != Gone
@@ -716,13 +714,13 @@
 func (b *Balancer) shuns(s *server, c *class) bool {
 	good := 1.0
 	for _, k := range []*class{c, b.classes[""]} { // that one stands for all together
-		good = min(good, (1-b.failing(s, k, c))/(1-k.failing))
+		good = min(good, (1-b.failing(s, k.learned, c))/(1-k.failing))
 	}
 	return good < failMargin && b.rng.Float64() >= math.Pow(good/failMargin, failWeight)
 }
 
 // failing is what is left of a server's share of failures in k, by the time that answers of c take.
-func (b *Balancer) failing(s *server, k, c *class) float64 {
+func (b *Balancer) failing(s *server, k *learned, c *class) float64 {
 	f := s.failing[k]
 	return f.share * math.Exp(-float64(b.now-f.at)/(failFade*c.mean))
 }
@@ -745,8 +743,8 @@
 	late, bad := took > c.mean+tailSpread*c.dev, false
 	if now, tells := map[Ending]float64{Success: 0, Failure: 1, TimedOut: 1}[e.Ending]; tells {
 		for _, k := range []*class{c, b.classes[""]} {
-			share := b.failing(s, k, c)
-			s.failing[k] = fading{share + failMemory*(now-share), b.now}
+			share := b.failing(s, k.learned, c)
+			s.failing[k.learned] = fading{share + failMemory*(now-share), b.now}
 			k.failing += memory * (now - k.failing)
 		}
 	}
--- /dev/null
+++ b/reconfigure_test.go
@@ -0,0 +1,120 @@
+package woodpick
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A request already taken keeps what its client was promised under the settings of its time; what comes later
+// goes by the new ones. Each row has a request that may have run once, and new settings for its class.
+func TestRequestsKeepTheClassTheyCameWith(t *testing.T) {
+	class := func(e Effect) Class {
+		return Class{Name: "get", Effect: e, Scope: ScopeAll, Window: time.Second, Aim: 500 * msec,
+			Deadline: 1500 * msec, Worth: 1}
+	}
+	short := class(Keyed)
+	short.Window = 10 * msec
+	other := class(Safe)
+	other.Name = "other"
+	for name, row := range map[string]struct {
+		before, after    Class
+		oldAgain, newToo bool // whether a request is sent again after a reset
+	}{
+		"safe becomes unsafe":     {class(Safe), class(Unsafe), true, false},
+		"unsafe becomes safe":     {class(Unsafe), class(Safe), false, true},
+		"keyed becomes unsafe":    {class(Keyed), class(Unsafe), true, false},
+		"the window shrinks":      {class(Keyed), short, true, false},
+		"the window grows":        {short, class(Keyed), false, true},
+		"the class goes":          {class(Safe), other, true, false},
+		"nothing changes":         {class(Safe), class(Safe), true, true},
+		"a bad file changes none": {class(Safe), Class{Name: "get"}, true, true},
+	} {
+		set := testSettings()
+		set.Classes = []Class{row.before}
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(0, ServerList{Full: true, Servers: servers(6)})
+		again := func(at time.Duration, id string) bool {
+			s := sends(b.Handle(at, Request{ID: id, Class: "get", Deadline: at + time.Second}))
+			if len(s) != 1 {
+				t.Fatalf("%s: %s: %d sends", name, id, len(s))
+			}
+			if id == "old" {
+				set.Classes = []Class{row.after}
+				b.Handle(at+5*msec, Reconfigure{set})
+			}
+			acts := b.Handle(at+30*msec, Outcome{ID: id, Server: s[0].Server, Ending: Broken})
+			return len(sends(acts)) == 1
+		}
+		if got := again(20*msec, "old"); got != row.oldAgain {
+			t.Errorf("%s: the request taken before: sent again %v, want %v", name, got, row.oldAgain)
+		}
+		if got := again(100*msec, "new"); got != row.newToo {
+			t.Errorf("%s: the request taken after: sent again %v, want %v", name, got, row.newToo)
+		}
+	}
+}
+
+// What was learned outlives new settings: a class's latency, a server's ill health and the calls out.
+func TestReconfigureKeepsWhatWasLearned(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(6)})
+	traffic(b, 300, "get", func(server string) Ending {
+		if server == "s02" {
+			return Failure
+		}
+		return Success
+	})
+	open := sends(b.Handle(b.now, Request{ID: "open", Class: "get", Deadline: b.now + time.Second}))[0]
+	mean, calls, until := b.classes["get"].mean, b.servers[open.Server].calls, b.servers["s02"].until
+	if calls == 0 || until == 0 {
+		t.Fatalf("%d calls out, ejected until %v: nothing to keep", calls, until)
+	}
+	set := testSettings()
+	set.Classes = slices.Clone(set.Classes)
+	set.Classes[0].Aim *= 2
+	set.Classes = append(set.Classes, Class{Name: "new", Aim: time.Second, Deadline: 2 * time.Second})
+	b.Handle(b.now, Reconfigure{set})
+	if got := b.classes["get"].mean; got != mean {
+		t.Errorf("mean latency %v, want %v", got, mean)
+	}
+	if got := b.servers[open.Server].calls; got != calls {
+		t.Errorf("%d calls, want %d", got, calls)
+	}
+	if got := b.servers["s02"].until; got != until {
+		t.Errorf("ejected until %v, want %v", got, until)
+	}
+	if b.classes["get"].Aim != set.Classes[0].Aim || b.classes["new"] == nil {
+		t.Error("the new settings are not in force")
+	}
+}
+
+// However often settings come, and though classes come and go under calls, nothing piles up.
+func TestReconfigureLeavesNothingBehind(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(3)})
+	now := time.Duration(0)
+	for i := range 500 {
+		set := testSettings()
+		set.Classes = []Class{{Name: fmt.Sprint("c", i), Effect: Safe, Aim: time.Second, Deadline: 2 * time.Second}}
+		b.Handle(now, Reconfigure{set})
+		now += msec
+		s := sends(b.Handle(now, Request{ID: "r", Class: fmt.Sprint("c", i), Deadline: now + time.Second}))[0]
+		b.Handle(now, Reconfigure{testSettings()})
+		now += 20 * msec
+		b.Handle(now, Outcome{ID: "r", Server: s.Server, Ending: Success, Ended: true})
+	}
+	b.Handle(now, Reconfigure{testSettings()})
+	if len(b.classes) != 4 || len(b.order) != 4 {
+		t.Errorf("%d classes, %d in order, want 4", len(b.classes), len(b.order))
+	}
+	for id, s := range b.servers {
+		if len(s.failing) > 4 {
+			t.Errorf("%s: shares of %d classes", id, len(s.failing))
+		}
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -85,6 +85,10 @@
 		if r := c.reqs[e.ID]; r != nil {
 			r.ended = true
 		}
+	case Reconfigure:
+		if e.Settings.Validate() == nil {
+			c.set = e.Settings
+		}
 	}
 	for id, r := range c.reqs {
 		if !r.ended && now > r.deadline+c.slack {
@@ -205,6 +209,30 @@
 	}
 }
 
+// changed draws other settings: classes that come, go, or have another effect, scope, window or deadline,
+// and other limits. Now and then they are bad.
+func changed(set Settings, rng *rand.Rand) Settings {
+	set.Classes = nil
+	for _, c := range testSettings().Classes {
+		if rng.IntN(4) == 0 {
+			continue
+		}
+		if rng.IntN(2) == 0 {
+			c.Effect, c.Scope = Effect(rng.IntN(3)), Scope(rng.IntN(3))
+			c.Window = time.Duration(1+rng.IntN(900)) * msec
+			c.Aim, c.Deadline = time.Duration(1+rng.IntN(500))*msec, time.Duration(1+rng.IntN(1500))*msec
+		}
+		set.Classes = append(set.Classes, c)
+	}
+	set.MaxAttempts, set.MayCancel = 1+rng.IntN(5), rng.IntN(2) == 0
+	set.Balancers, set.Index = 1+rng.IntN(20), rng.IntN(20)
+	set.FallMultiple, set.FallFor = float64(rng.IntN(5)), time.Duration(rng.IntN(2000))*msec
+	if rng.IntN(5) == 0 {
+		set.ColdFrom = -1
+	}
+	return set
+}
+
 // run drives a Balancer with random legal events and odd ones, and returns all its actions.
 func run(t testing.TB, set Settings, seed uint64, steps int, c *checker) (log []string, b *Balancer) {
 	rng := rand.New(rand.NewPCG(seed, 1))
@@ -349,6 +377,13 @@
 				give(ServerList{Servers: []Server{*s}})
 			}
 		}
+		if rng.IntN(100) == 0 {
+			next := changed(set, rng)
+			give(Reconfigure{next})
+			if next.Validate() == nil {
+				set = next
+			}
+		}
 		if rng.IntN(40) == 0 {
 			give(Outcome{ID: "nobody", Attempt: 3, Ending: Success})
 			give(Timer{Token: "r:nobody"})
--- a/woodpick.go
+++ b/woodpick.go
@@ -47,7 +47,7 @@
 	Worth     float64
 }
 
-// Settings are fixed for the life of a Balancer.
+// Settings hold until the Balancer is told others by Reconfigure.
 type Settings struct {
 	Classes     []Class
 	Balancers   int     // copies that place calls on this tier
@@ -74,8 +74,8 @@
 	FallFor      time.Duration
 }
 
-// validate names the first setting that is out of range.
-func validate(s Settings) error {
+// Validate names the first setting that is out of range.
+func (s Settings) Validate() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("woodpick: Classes is empty")
 	}
@@ -201,18 +201,23 @@
 	ClientGone struct{ ID string }
 	// Closing says that the host ends: every request is answered now, and any that still comes at once.
 	Closing struct{}
+	// Reconfigure brings new settings, in force from then on; bad ones change nothing. A request already
+	// taken keeps its class as it was, with its deadline and the window for its repeats. A class of the same
+	// name keeps what was learned of it, and so do servers; how the list is had (AskDiscovery) stays.
+	Reconfigure struct{ Settings Settings }
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
 )
 
-func (ServerList) event() {}
-func (ListFailed) event() {}
-func (Request) event()    {}
-func (Outcome) event()    {}
-func (Started) event()    {}
-func (ClientGone) event() {}
-func (Closing) event()    {}
-func (Timer) event()      {}
+func (ServerList) event()  {}
+func (ListFailed) event()  {}
+func (Request) event()     {}
+func (Outcome) event()     {}
+func (Started) event()     {}
+func (ClientGone) event()  {}
+func (Closing) event()     {}
+func (Reconfigure) event() {}
+func (Timer) event()       {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
