Add a hollow node, and the stand-ins for a fleet's registry and agents

Cause: what a fleet of 1,100 nodes costs can't be measured with as many processes on one machine. Result: its test passes with lists pushed and asked for, five times under the race detector.

--- /dev/null
+++ b/internal/fleet/arrivals.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Arrivals draws the times of a Poisson process, counted from 0: an open loop, which waits for no answer.
+type Arrivals struct {
+	rng  *rand.Rand
+	mean time.Duration
+	at   time.Duration
+}
+
+// NewArrivals draws rate arrivals a second. The same seeds give the same times.
+func NewArrivals(rate float64, seed, stream uint64) *Arrivals {
+	return &Arrivals{rng: rand.New(rand.NewPCG(seed, stream)), mean: time.Duration(float64(time.Second) / rate)}
+}
+
+// Next is the time of the next arrival.
+func (a *Arrivals) Next() time.Duration {
+	a.at += time.Duration(a.rng.ExpFloat64() * float64(a.mean))
+	return a.at
+}
+
+// Play calls send at each arrival, from now on until a time has gone by or ctx ends. send gets the time that
+// was drawn, and must not wait for an answer; that it comes late is its own to note.
+func (a *Arrivals) Play(ctx context.Context, length time.Duration, send func(drawn time.Time)) {
+	start := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for at := a.Next(); at < length; at = a.Next() {
+		drawn := start.Add(at)
+		if wait := time.Until(drawn); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return
+			}
+		} else if ctx.Err() != nil {
+			return
+		}
+		send(drawn)
+	}
+}
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// The class that all calls are of, and how long a caller waits.
+const (
+	callClass    = "view"
+	callDeadline = 3.0 // seconds
+)
+
+// zones are two regions of three zones each.
+var zones = []string{"north-1", "north-2", "north-3", "south-1", "south-2", "south-3"}
+
+// NodeSpec is what one node's configuration is made from.
+type NodeSpec struct {
+	Name      string
+	Index     int // among the copies of its service
+	Copies    int
+	Tier      int
+	Listen    string // 127.0.0.1:0 for a port of the system's choice
+	Discovery string
+	Asked     bool     // lists are asked for, not pushed
+	Classes   []string // beside the class of the calls
+	Seed      uint64
+}
+
+// Configuration is the file that a node reads, with the limits of the target: 128 MB, 1,024 descriptors.
+func (s NodeSpec) Configuration() ([]byte, error) {
+	type object = map[string]any
+	var classes []object
+	for _, name := range append([]string{callClass}, s.Classes...) {
+		classes = append(classes, object{"name": name, "effect": "read_like", "target-ms": 1000,
+			"deadline-ms": callDeadline * 1000, "worth": 1})
+	}
+	mode := "pushed"
+	if s.Asked {
+		mode = "on_request"
+	}
+	text, err := json.MarshalIndent(object{
+		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": fmt.Sprintf("%016x", s.Seed),
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 1024},
+		"known":  object{"rev": 0, "all": true, "targets": []any{}},
+		"settings": object{
+			"balancers": s.Copies, "me": s.Index, "tier": s.Tier, "zone": zones[s.Index%len(zones)],
+			"localities": zones, "registry-mode": mode, "tick-ms": 5, "lanes": classes,
+			"blend": object{"whole": 0.65, "worst-class": 0.2},
+			"limits": object{"cancelling": true, "conn-idle-ms": 10000, "connect-timeout-ms": 150,
+				"max-attempts": 3, "max-retry-after-ms": 2000, "retry-after": true},
+			"rules": object{"answer-slack-ms": 20, "ask-within-ms": 10000, "cold-from": 0.12, "fall-ms": 1000,
+				"fall-multiple": 4, "stop-sending-within-ms": 250, "warm-after-ms": 24000},
+		},
+	}, "", " ")
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/fleet/list.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+)
+
+// keptChanges is how many changes a list remembers; who holds an older version gets the whole list.
+const keptChanges = 4096
+
+// Target is an entry of a list, as PROTOCOL has it.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+// The states of a target.
+const (
+	inService   = "in_service"
+	terminating = "terminating"
+	terminated  = "terminated" // only among changes
+)
+
+// answerBody is what a list's calls are answered with.
+type answerBody struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// list is the servers of one service and what became of them.
+type list struct {
+	mu      sync.Mutex
+	rev     int64
+	order   []string // uids, as first listed
+	targets map[string]Target
+	changes []change // the oldest first; the last few
+	newer   chan struct{}
+	answers map[int64][]byte // of this version, by the version held; -1: the whole list
+}
+
+type change struct {
+	rev    int64
+	target Target
+}
+
+func newList(targets []Target) *list {
+	l := &list{rev: 1, targets: map[string]Target{}, newer: make(chan struct{}), answers: map[int64][]byte{}}
+	for _, t := range targets {
+		l.order = append(l.order, t.UID)
+		l.targets[t.UID] = t
+	}
+	return l
+}
+
+// change makes a new version of some entries and wakes the watches.
+func (l *list) change(targets []Target) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rev++
+	for _, t := range targets {
+		if _, listed := l.targets[t.UID]; t.State == terminated {
+			delete(l.targets, t.UID)
+		} else {
+			if !listed {
+				l.relist(t.UID)
+			}
+			l.targets[t.UID] = t
+		}
+		l.changes = append(l.changes, change{l.rev, t})
+	}
+	if extra := len(l.changes) - keptChanges; extra > 0 {
+		l.changes = append([]change(nil), l.changes[extra:]...)
+	}
+	clear(l.answers)
+	close(l.newer)
+	l.newer = make(chan struct{})
+	return l.rev
+}
+
+// relist gives a new uid its place.
+func (l *list) relist(uid string) {
+	for _, known := range l.order {
+		if known == uid {
+			return
+		}
+	}
+	l.order = append(l.order, uid)
+}
+
+// held is the answer to who holds a version (-1: none): what is newer, and whether there is anything; newer
+// is closed once there is more.
+func (l *list) held(from int64) (body []byte, news bool, newer <-chan struct{}, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	body, ok := l.answers[from]
+	if !ok {
+		if body, err = json.Marshal(l.since(from)); err != nil {
+			return nil, false, nil, fmt.Errorf("list: %w", err)
+		}
+		l.answers[from] = body
+	}
+	return body, from != l.rev, l.newer, nil
+}
+
+// since is what changed after a version, each entry once and as it is now; or all, where that is not known.
+func (l *list) since(from int64) answerBody {
+	if from == l.rev {
+		return answerBody{Rev: l.rev, Targets: []Target{}}
+	}
+	known := from >= 1 && from < l.rev && len(l.changes) > 0 && l.changes[0].rev <= from+1
+	if !known {
+		all := answerBody{Rev: l.rev, All: true, Targets: []Target{}}
+		for _, uid := range l.order {
+			if t, ok := l.targets[uid]; ok {
+				all.Targets = append(all.Targets, t)
+			}
+		}
+		return all
+	}
+	news := answerBody{Rev: l.rev, Targets: []Target{}}
+	seen := map[string]bool{}
+	for i := len(l.changes) - 1; i >= 0 && l.changes[i].rev > from; i-- {
+		if t := l.changes[i].target; !seen[t.UID] {
+			seen[t.UID] = true
+			news.Targets = append(news.Targets, t)
+		}
+	}
+	return news
+}
--- /dev/null
+++ b/internal/fleet/process.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+)
+
+// tick is the unit of the processor times in /proc/PID/stat.
+const tick = 10 * time.Millisecond
+
+// Usage is what a process has used.
+type Usage struct {
+	CPU time.Duration
+	RSS int64 // bytes in memory now
+}
+
+// UsageOf reads what a process has used. Its CPU comes from schedstat of its threads, which counts
+// nanoseconds, and is never under what stat says to its tick: a thread that has ended counts only there.
+func UsageOf(pid int) (Usage, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Usage{}, fmt.Errorf("usage: %w", err)
+	}
+	fields := bytes.Fields(text[bytes.LastIndexByte(text, ')')+1:]) // from the state, field 3, on
+	if len(fields) < 22 {
+		return Usage{}, fmt.Errorf("usage: /proc/%d/stat has %d fields", pid, len(fields))
+	}
+	number := func(field int) int64 {
+		n, parseErr := strconv.ParseInt(string(fields[field-3]), 10, 64)
+		if parseErr != nil {
+			err = parseErr
+		}
+		return n
+	}
+	u := Usage{CPU: time.Duration(number(14)+number(15)) * tick, RSS: number(24) * int64(os.Getpagesize())}
+	if err != nil {
+		return Usage{}, fmt.Errorf("usage: %w", err)
+	}
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return Usage{}, fmt.Errorf("usage: %w", err)
+	}
+	var exact time.Duration
+	for _, path := range threads {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended since
+		}
+		var ns int64
+		if _, err := fmt.Sscan(string(text), &ns); err == nil {
+			exact += time.Duration(ns)
+		}
+	}
+	u.CPU = max(u.CPU-tick, exact)
+	return u, nil
+}
--- /dev/null
+++ b/internal/fleet/registry.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// mostHold is the longest wait of a watch.
+const mostHold = time.Minute
+
+// Registry stands in for discovery: the lists of some services, each at addresses of its own. An address
+// stands for the registry itself where lists are asked for, and for one node's agent where they are pushed;
+// the agents hear of a change in memory and at once, and have nothing to say while the registry is silent.
+type Registry struct {
+	Traffic *Series
+	lists   []*list
+
+	mu      sync.Mutex
+	silent  bool
+	servers []*http.Server
+}
+
+// NewRegistry holds a list for each service.
+func NewRegistry(services [][]Target) *Registry {
+	r := &Registry{Traffic: NewSeries()}
+	for _, targets := range services {
+		r.lists = append(r.lists, newList(targets))
+	}
+	return r
+}
+
+// Listen opens an address where the list of a service is told. Addresses stay open until Close.
+func (r *Registry) Listen(service int) (string, error) {
+	if service < 0 || service >= len(r.lists) {
+		return "", fmt.Errorf("registry: no service %d", service)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("registry: %w", err)
+	}
+	l := r.lists[service]
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.tell(w, q, l) }),
+		ReadHeaderTimeout: 10 * time.Second}
+	r.mu.Lock()
+	r.servers = append(r.servers, s)
+	r.mu.Unlock()
+	go s.Serve(&meteredListener{ln, r.Traffic})
+	return ln.Addr().String(), nil
+}
+
+// Change makes one new version of a service's list.
+func (r *Registry) Change(service int, targets []Target) (int64, error) {
+	if service < 0 || service >= len(r.lists) {
+		return 0, fmt.Errorf("registry: no service %d", service)
+	}
+	return r.lists[service].change(targets), nil
+}
+
+// Silence has the registry accept calls and answer none, those already waiting included, until it ends;
+// what was asked meanwhile is not answered afterwards either.
+func (r *Registry) Silence(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = on
+}
+
+func (r *Registry) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
+}
+
+// Close ends all addresses.
+func (r *Registry) Close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var errs []error
+	for _, s := range r.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// tell answers one call.
+func (r *Registry) tell(w http.ResponseWriter, q *http.Request, l *list) {
+	r.Traffic.Add(Traffic{Calls: 1})
+	if q.Method != http.MethodGet || q.URL.Path != "/registry/instances" {
+		http.NotFound(w, q)
+		return
+	}
+	from, hold, err := watchOf(q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if r.isSilent() {
+		<-q.Context().Done()
+		return
+	}
+	over, cancel := context.WithTimeout(q.Context(), hold)
+	defer cancel()
+	for {
+		body, news, newer, err := l.held(from)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		if !news && over.Err() == nil {
+			select {
+			case <-newer:
+				if r.isSilent() {
+					<-q.Context().Done()
+					return
+				}
+				continue
+			case <-over.Done():
+			}
+		}
+		if r.isSilent() {
+			<-q.Context().Done()
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(body)
+		return
+	}
+}
+
+// watchOf reads a watch: the version held and the wait. The whole list is asked for without both.
+func watchOf(q *http.Request) (from int64, hold time.Duration, err error) {
+	if q.URL.RawQuery == "" {
+		return -1, 0, nil
+	}
+	if from, err = strconv.ParseInt(q.URL.Query().Get("from"), 10, 64); err != nil {
+		return 0, 0, fmt.Errorf("from: %w", err)
+	}
+	ms, err := strconv.ParseInt(q.URL.Query().Get("hold_ms"), 10, 64)
+	if err != nil {
+		return 0, 0, fmt.Errorf("hold_ms: %w", err)
+	}
+	return from, min(max(time.Duration(ms)*time.Millisecond, 0), mostHold), nil
+}
+
+// meteredListener counts what passes over its connections.
+type meteredListener struct {
+	net.Listener
+	traffic *Series
+}
+
+func (l *meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.traffic.Add(Traffic{Conns: 1})
+	l.traffic.opened(1)
+	return &meteredConn{Conn: c, traffic: l.traffic}, nil
+}
+
+type meteredConn struct {
+	net.Conn
+	traffic *Series
+	closed  sync.Once
+}
+
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.Add(Traffic{In: int64(n)})
+	return n, err
+}
+
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Add(Traffic{Out: int64(n)})
+	return n, err
+}
+
+func (c *meteredConn) Close() error {
+	c.closed.Do(func() { c.traffic.opened(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/fleet/series.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// BucketWidth is short enough for a peak to show, and long enough for a mean to fill.
+const BucketWidth = 100 * time.Millisecond
+
+// Traffic is what passed at a stand-in: new connections, calls, and bytes of TCP payload each way.
+type Traffic struct {
+	Conns int64 `json:"conns"`
+	Calls int64 `json:"calls"`
+	In    int64 `json:"bytes_in"`
+	Out   int64 `json:"bytes_out"`
+}
+
+func (t *Traffic) add(u Traffic) {
+	t.Conns += u.Conns
+	t.Calls += u.Calls
+	t.In += u.In
+	t.Out += u.Out
+}
+
+// Series counts traffic in buckets of BucketWidth, so that a peak can be compared with the mean.
+type Series struct {
+	mu      sync.Mutex
+	start   time.Time
+	buckets []Traffic
+	open    int64
+}
+
+// NewSeries counts from now.
+func NewSeries() *Series { return &Series{start: time.Now()} }
+
+// Add counts traffic that passes now.
+func (s *Series) Add(t Traffic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := int(time.Since(s.start) / BucketWidth)
+	for len(s.buckets) <= at {
+		s.buckets = append(s.buckets, Traffic{})
+	}
+	s.buckets[at].add(t)
+}
+
+// opened counts connections that open (1) or close (-1).
+func (s *Series) opened(n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += n
+}
+
+// Counted is a copy of a series.
+type Counted struct {
+	StartNS int64     `json:"start_ns"` // Unix time of the first bucket
+	Open    int64     `json:"open"`     // connections open when the copy was made
+	Buckets []Traffic `json:"buckets"`
+}
+
+// Counted copies the series as it is.
+func (s *Series) Counted() Counted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Counted{s.start.UnixNano(), s.open, append([]Traffic(nil), s.buckets...)}
+}
+
+// Between sums the whole buckets from one time to another, and gives the most calls in one of them and the
+// seconds they span.
+func (c Counted) Between(from, to time.Time) (sum Traffic, peak int64, seconds float64) {
+	width := int64(BucketWidth)
+	first := (from.UnixNano() - c.StartNS + width - 1) / width
+	last := (to.UnixNano() - c.StartNS) / width
+	for i := max(first, 0); i < last; i++ {
+		seconds += BucketWidth.Seconds()
+		if i < int64(len(c.Buckets)) {
+			sum.add(c.Buckets[i])
+			peak = max(peak, c.Buckets[i].Calls)
+		}
+	}
+	return sum, peak, seconds
+}
--- /dev/null
+++ b/internal/node/hollow_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"woodpick"
+)
+
+// A hollow node takes lists from discovery, tells of each that changes something, and answers calls from
+// attempts that end in memory; a call without an answer in time is not served.
+func TestHollowNode(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		ag := newAgent(t)
+		ag.tell(false, whole(entry("s1", "127.0.0.1:1", "in_service")))
+		cfg := testConfig("")
+		cfg.Discovery, cfg.Settings.AskDiscovery = ag.Addr().String(), asked
+		lists := make(chan int64, 10)
+		var delay atomic.Int64
+		delay.Store(int64(time.Millisecond))
+		h, err := NewHollow(cfg, testLog(), func(server string) (time.Duration, woodpick.Ending) {
+			if server != "s1" {
+				t.Errorf("sent to %q", server)
+			}
+			return time.Duration(delay.Load()), woodpick.Success
+		}, func(rev int64, at time.Time) { lists <- rev })
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			h.Run(ctx)
+		}()
+		wait(t, lists, "the list")
+		until(t, "readiness", h.Ready)
+		answers := make(chan Answer, 10)
+		for range 5 {
+			h.Call(cfg.Settings.Classes[0].Name, limit, func(a Answer) { answers <- a })
+		}
+		for range 5 {
+			if a := wait(t, answers, "an answer"); a != Served {
+				t.Errorf("asked %v: answer %v, want served", asked, a)
+			}
+		}
+		delay.Store(int64(time.Hour))
+		h.Call(cfg.Settings.Classes[0].Name, 50*time.Millisecond, func(a Answer) { answers <- a })
+		if a := wait(t, answers, "an answer"); a == Served {
+			t.Error("a call that no attempt answers in time is served")
+		}
+		cancel()
+		wait(t, over, "the end")
+		h.Call(cfg.Settings.Classes[0].Name, limit, func(a Answer) { t.Error("answered after the end") })
+	}
+}
