--- /dev/null
+++ b/cmd/fleetscale/main.go
@@ -0,0 +1,132 @@
+// Command fleetscale measures what a fleet of nodes costs: the slopes of traffic, processor time and memory
+// against the servers listed, their changes and the nodes; storms; and what nodes in a row add to a call.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"woodpick/internal/fleet"
+)
+
+// How the program exits.
+const (
+	exitFailed = 1 // the run, also by a signal
+	exitUsage  = 2
+)
+
+// output says where the report goes.
+type output struct {
+	JSON string `name:"json" help:"Write the JSON report to this file, not to standard output." type:"path" placeholder:"FILE"`
+}
+
+type sweep struct {
+	fleet.Args `embed:""`
+	output     `embed:""`
+	Over       string `help:"What to vary: ${enum}." enum:"nodes,servers,changes" required:""`
+	Values     []int  `help:"Its values, at least two different ones." required:""`
+}
+
+// Validate checks each run of the sweep. Kong calls it.
+func (s sweep) Validate() error {
+	_, err := fleet.Plan(s.Args, s.Over, s.Values)
+	return err
+}
+
+type commands struct {
+	Run struct {
+		fleet.Args `embed:""`
+		output     `embed:""`
+	} `cmd:"" default:"withargs" help:"Make one run, which measures one point."`
+	Sweep sweep `cmd:"" help:"Make runs in a row that differ in one argument, and fit slopes."`
+	Child struct {
+		Role string `arg:""`
+	} `cmd:"" hidden:""`
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run does what the arguments say, and tells how to exit.
+func run(args []string, stdout, stderr io.Writer) int {
+	var c commands
+	helped := false
+	parser, err := kong.New(&c, kong.Name("fleetscale"), kong.Writers(stdout, stderr), kong.Exit(func(int) { helped = true }),
+		kong.Description("Measures what a fleet of nodes costs. Everything stays on this machine's loopback addresses."))
+	if err != nil {
+		fmt.Fprintf(stderr, "fleetscale: %v\n", err)
+		return exitUsage
+	}
+	parsed, err := parser.Parse(args)
+	if helped {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "fleetscale: %s\n", strings.ReplaceAll(err.Error(), "\n", " "))
+		return exitUsage
+	}
+	if strings.HasPrefix(parsed.Command(), "child") {
+		err = fleet.Child(c.Child.Role)
+	} else {
+		err = measure(parsed.Command(), c, args, stdout, stderr)
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "fleetscale: %v\n", err)
+		return exitFailed
+	}
+	return 0
+}
+
+// measure makes the runs and writes the report. SIGINT and SIGTERM end it.
+func measure(command string, c commands, args []string, stdout, stderr io.Writer) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("its own program: %w", err)
+	}
+	runner := fleet.Runner{Self: []string{self, "child"}, Log: slog.New(slog.NewTextHandler(stderr, nil))}
+	var report fleet.Report
+	to := c.Run.JSON
+	if command == "sweep" {
+		to = c.Sweep.JSON
+		report, err = runner.Sweep(ctx, c.Sweep.Args, c.Sweep.Over, c.Sweep.Values)
+	} else {
+		report.Points = make([]fleet.Point, 1)
+		report.Points[0], err = runner.Run(ctx, c.Run.Args)
+	}
+	if ctx.Err() != nil {
+		return errors.New("ended by a signal")
+	}
+	if err != nil {
+		return err
+	}
+	report.Command = fleet.Command(args)
+	text, err := json.MarshalIndent(report, "", " ")
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if err := report.Table(stdout); err != nil {
+		return err
+	}
+	text = append(text, '\n')
+	if to != "" {
+		if err := os.WriteFile(to, text, 0o644); err != nil {
+			return fmt.Errorf("report: %w", err)
+		}
+		return nil
+	}
+	if _, err := stdout.Write(text); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"syscall"
 	"time"
 )
 
@@ -24,24 +25,25 @@
 	return a.at
 }
 
+// coarse is how far the runtime's timers may be out while a process is idle; what is left then is slept by a
+// thread of its own.
+const coarse = 2 * time.Millisecond
+
 // Play calls send at each arrival, from now on until a time has gone by or ctx ends. send gets the time that
 // was drawn, and must not wait for an answer; that it comes late is its own to note.
 func (a *Arrivals) Play(ctx context.Context, length time.Duration, send func(drawn time.Time)) {
 	start := time.Now()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for at := a.Next(); at < length; at = a.Next() {
+	for at := a.Next(); at < length && ctx.Err() == nil; at = a.Next() {
 		drawn := start.Add(at)
-		if wait := time.Until(drawn); wait > 0 {
-			timer.Reset(wait)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				return
-			}
-		} else if ctx.Err() != nil {
-			return
+		if wait := time.Until(drawn); wait > coarse {
+			pause(ctx, wait-coarse)
+		}
+		if wait := time.Until(drawn); wait > 0 && ctx.Err() == nil {
+			left := syscall.NsecToTimespec(int64(wait))
+			syscall.Nanosleep(&left, nil) // a signal may end it early, by at most what is coarse
+		}
+		if ctx.Err() == nil {
+			send(drawn)
 		}
-		send(drawn)
 	}
 }
--- /dev/null
+++ b/internal/fleet/caller.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// outcome is how a call ended, as its caller sees it.
+type outcome int
+
+const (
+	served outcome = iota
+	refused
+	failed
+	unknown // the node does not know the class
+)
+
+// caller makes calls as PROTOCOL has them, one at a time on each connection.
+type caller struct{ client *http.Client }
+
+func newCaller() *caller {
+	return &caller{&http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1000,
+		IdleConnTimeout: 30 * time.Second}}}
+}
+
+// call asks a node or a server, which has until deadline, and reads the answer to its end.
+func (c *caller) call(ctx context.Context, address, class, id string, deadline time.Time) (outcome, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/"+class+"/k", nil)
+	if err != nil {
+		return failed, fmt.Errorf("call: %w", err)
+	}
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline", fmt.Sprintf("%.4f", time.Until(deadline).Seconds()))
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return failed, fmt.Errorf("call: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+	switch {
+	case err != nil:
+		return failed, fmt.Errorf("call: %w", err)
+	case resp.StatusCode == http.StatusNotFound:
+		return unknown, nil
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+		return refused, nil
+	case resp.StatusCode != http.StatusOK:
+		return failed, fmt.Errorf("call: status %d", resp.StatusCode)
+	case !strings.Contains(string(body), id):
+		return failed, fmt.Errorf("call: the answer to %s is another's: %q", id, body)
+	}
+	return served, nil
+}
+
+func (c *caller) close() { c.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/fleet/latency.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Quantiles are times in milliseconds that so many in 100 do not exceed.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p99_9_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// latencies gathers times from many goroutines, in microseconds up to two minutes.
+type latencies struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+func newLatencies() *latencies {
+	return &latencies{hist: hdrhistogram.New(1, (2 * time.Minute).Microseconds(), 3)}
+}
+
+func (l *latencies) add(d time.Duration) {
+	us := min(max(d.Microseconds(), 0), (2 * time.Minute).Microseconds())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hist.RecordValue(us) // in range, so it can't fail
+}
+
+func (l *latencies) quantiles() Quantiles {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := func(q float64) float64 { return float64(l.hist.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{Count: l.hist.TotalCount(), P50: at(50), P99: at(99), P999: at(99.9), Max: float64(l.hist.Max()) / 1000}
+}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
+	"time"
 )
 
 // keptChanges is how many changes a list remembers; who holds an older version gets the whole list.
@@ -110,6 +113,39 @@
 	return body, from != l.rev, l.newer, nil
 }
 
+// errSilent says that a call is never answered.
+var errSilent = errors.New("the registry is silent")
+
+// wait is the answer to a watch from a version (-1: to a call for the whole list), after a hold where there
+// is nothing newer. It fails once down is closed, or ctx ends.
+func (l *list) wait(ctx context.Context, from int64, hold time.Duration, down <-chan struct{}) ([]byte, error) {
+	over := time.NewTimer(hold)
+	defer over.Stop()
+	for waited := hold == 0; ; {
+		body, news, newer, err := l.held(from)
+		if err != nil {
+			return nil, err
+		}
+		if news || waited {
+			select {
+			case <-down:
+				return nil, errSilent
+			default:
+				return body, nil
+			}
+		}
+		select {
+		case <-newer:
+		case <-over.C:
+			waited = true
+		case <-down:
+			return nil, errSilent
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // since is what changed after a version, each entry once and as it is now; or all, where that is not known.
 func (l *list) since(from int64) answerBody {
 	if from == l.rev {
--- /dev/null
+++ b/internal/fleet/machine.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// machineBusy is the processor time that all of the machine has spent since its start.
+func machineBusy() (time.Duration, error) {
+	text, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, fmt.Errorf("machine: %w", err)
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	var busy time.Duration
+	for i, field := range strings.Fields(line) {
+		if i == 0 || i == 4 || i == 5 || i > 8 { // the name, idle, waiting for I/O, guests (in user already)
+			continue
+		}
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("machine: %w", err)
+		}
+		busy += time.Duration(n) * tick
+	}
+	return busy, nil
+}
+
+// loadAverage is the machine's load over the last minute, or "" if it does not tell.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	one, _, _ := strings.Cut(string(text), " ")
+	return one
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -22,13 +21,14 @@
 	lists   []*list
 
 	mu      sync.Mutex
+	down    chan struct{} // closed while the registry is silent
 	silent  bool
 	servers []*http.Server
 }
 
 // NewRegistry holds a list for each service.
 func NewRegistry(services [][]Target) *Registry {
-	r := &Registry{Traffic: NewSeries()}
+	r := &Registry{Traffic: NewSeries(), down: make(chan struct{})}
 	for _, targets := range services {
 		r.lists = append(r.lists, newList(targets))
 	}
@@ -67,13 +67,20 @@
 func (r *Registry) Silence(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch {
+	case on && !r.silent:
+		close(r.down)
+	case !on && r.silent:
+		r.down = make(chan struct{})
+	}
 	r.silent = on
 }
 
-func (r *Registry) isSilent() bool {
+// silence is closed once a call that comes now can't be answered any more.
+func (r *Registry) silence() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.silent
+	return r.down
 }
 
 // Close ends all addresses.
@@ -99,36 +106,15 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if r.isSilent() {
-		<-q.Context().Done()
-		return
-	}
-	over, cancel := context.WithTimeout(q.Context(), hold)
-	defer cancel()
-	for {
-		body, news, newer, err := l.held(from)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		if !news && over.Err() == nil {
-			select {
-			case <-newer:
-				if r.isSilent() {
-					<-q.Context().Done()
-					return
-				}
-				continue
-			case <-over.Done():
-			}
-		}
-		if r.isSilent() {
-			<-q.Context().Done()
-			return
-		}
+	body, err := l.wait(q.Context(), from, hold, r.silence())
+	switch {
+	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		w.Write(body)
-		return
+	case errors.Is(err, errSilent):
+		<-q.Context().Done()
+	case q.Context().Err() == nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/servers.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// ServersSpec asks for chains of servers: one server for each tier of each chain, twice. Those through nodes
+// call the node of the next tier, the direct ones the next server itself.
+type ServersSpec struct {
+	Chains, Depth int
+	Service       time.Duration // mean of the time that each server takes, drawn anew for each request
+	Seed          uint64
+}
+
+// ServerAddresses holds an address for each chain and tier.
+type ServerAddresses struct {
+	Through, Direct [][]string
+}
+
+// Servers is the host of the stand-ins of servers, as a service for a parent process.
+type Servers struct {
+	caller  *caller
+	through [][]*server
+}
+
+// server answers a request, after its time and after its own call to the next tier, where there is one.
+type server struct {
+	caller  *caller
+	service time.Duration
+	next    atomic.Pointer[string]
+	calls   atomic.Int64
+	name    string
+	seed    uint64
+}
+
+// Start opens the servers.
+func (s *Servers) Start(spec ServersSpec, at *ServerAddresses) error {
+	s.caller = newCaller()
+	open := func(name string, n int) (*server, string, error) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, "", fmt.Errorf("servers: %w", err)
+		}
+		one := &server{caller: s.caller, service: spec.Service, name: name, seed: spec.Seed + uint64(n)}
+		go (&http.Server{Handler: one, ReadHeaderTimeout: time.Minute}).Serve(ln)
+		return one, ln.Addr().String(), nil
+	}
+	for c := range spec.Chains {
+		var through, direct []*server
+		var throughAt, directAt []string
+		for k := range spec.Depth {
+			a, address, err := open(fmt.Sprintf("t%d-%d", c, k), 2*(c*spec.Depth+k))
+			if err != nil {
+				return err
+			}
+			through, throughAt = append(through, a), append(throughAt, address)
+			if a, address, err = open(fmt.Sprintf("d%d-%d", c, k), 2*(c*spec.Depth+k)+1); err != nil {
+				return err
+			}
+			direct, directAt = append(direct, a), append(directAt, address)
+		}
+		for k := range spec.Depth - 1 {
+			direct[k].next.Store(&directAt[k+1])
+		}
+		s.through = append(s.through, through)
+		at.Through, at.Direct = append(at.Through, throughAt), append(at.Direct, directAt)
+	}
+	return nil
+}
+
+// Link tells the servers through nodes where their own nodes are: nodes holds an address for each chain and
+// tier; the node of the first tier is the clients'.
+func (s *Servers) Link(nodes [][]string, _ *struct{}) error {
+	for c, chain := range nodes {
+		for k := 1; k < len(chain); k++ {
+			s.through[c][k-1].next.Store(&chain[k])
+		}
+	}
+	return nil
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	left, err := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64)
+	if id == "" || err != nil {
+		http.NotFound(w, r)
+		return
+	}
+	deadline := time.Now().Add(time.Duration(left * float64(time.Second)))
+	n := s.calls.Add(1)
+	if s.service > 0 {
+		rng := rand.New(rand.NewPCG(s.seed, uint64(n)))
+		pause(r.Context(), time.Duration(rng.ExpFloat64()*float64(s.service)))
+	}
+	if next := s.next.Load(); next != nil {
+		got, err := s.caller.call(r.Context(), *next, callClass, fmt.Sprintf("%s-%x", s.name, n), deadline)
+		if err != nil || got != served {
+			http.Error(w, fmt.Sprintf("the next tier: %v, %v", got, err), http.StatusInternalServerError)
+			return
+		}
+	}
+	fmt.Fprintf(w, "%s serves %s\n", s.name, id)
+}
+
+// pause waits for a while, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/fleet/storm.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"context"
+	"time"
+)
+
+// stormTimes are when a storm began and ended.
+type stormTimes struct{ lost, back time.Time }
+
+// storm loses a zone or the registry for a part of the run. While the registry is silent each list changes
+// at least once, so that there is news at its return.
+func (r *run) storm(ctx context.Context) (*stormTimes, error) {
+	start := time.Now()
+	share := func(s float64) time.Time { return start.Add(time.Duration(s * float64(r.args.For))) }
+	pause(ctx, time.Until(share(stormBegins)))
+	s := &stormTimes{}
+	if err := r.phase(ctx, inStorm); err != nil {
+		return nil, err
+	}
+	if err := r.lose(ctx, s); err != nil {
+		return nil, err
+	}
+	r.Log.Info("lost", "what", r.args.Storm)
+	pause(ctx, time.Until(share(stormEnds)))
+	if err := r.restore(ctx, s); err != nil {
+		return nil, err
+	}
+	r.Log.Info("back", "what", r.args.Storm)
+	return s, r.phase(ctx, afterStorm)
+}
+
+func (r *run) phase(ctx context.Context, phase int) error {
+	if r.hollows == nil {
+		return nil
+	}
+	return r.hollows.ask(ctx, "Phase", phase, &struct{}{})
+}
+
+func (r *run) lose(ctx context.Context, s *stormTimes) error {
+	if r.args.Storm == "zone" {
+		s.lost = time.Now()
+		return r.changeZone(ctx, false, groupZoneLost)
+	}
+	r.mu.Lock()
+	r.silent = true
+	r.mu.Unlock()
+	var at int64
+	err := r.registry.ask(ctx, "Silence", true, &at)
+	s.lost = time.Unix(0, at)
+	return err
+}
+
+func (r *run) restore(ctx context.Context, s *stormTimes) error {
+	if r.args.Storm == "zone" {
+		s.back = time.Now()
+		return r.changeZone(ctx, true, groupZoneBack)
+	}
+	// The newest version of each list is made last; what else changed while the registry was silent comes with it.
+	var last []ListChange
+	for _, l := range r.lists {
+		var changed Changed
+		if err := r.registry.ask(ctx, "Change", ChangeSpec{l.service, l.restart()}, &changed); err != nil {
+			return err
+		}
+		if l.service < r.args.Services && r.args.Nodes > 0 {
+			last = append(last, ListChange{Group: groupSilent, Service: l.service, Rev: changed.Rev})
+		}
+	}
+	var at int64
+	if err := r.registry.ask(ctx, "Silence", false, &at); err != nil {
+		return err
+	}
+	s.back = time.Unix(0, at)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = false
+	for _, c := range last {
+		c.AtNS = at
+		r.changes = append(r.changes, c)
+	}
+	return nil
+}
+
+func (r *run) changeZone(ctx context.Context, back bool, group string) error {
+	for _, l := range r.lists {
+		if targets := l.zone(back); len(targets) > 0 {
+			if err := r.change(ctx, l, targets, group); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// figures compares the registry's load at the return with the mean before.
+func (s *stormTimes) figures(kind string, counted Counted, begin, end time.Time, h *HollowFigures) *StormFigures {
+	f := &StormFigures{Kind: kind, LostSec: s.back.Sub(s.lost).Seconds()}
+	watched := s.back.Add(stormWatch)
+	if watched.After(end) {
+		watched = end
+	}
+	before, _, beforeSec := counted.Between(begin, s.lost)
+	during, _, duringSec := counted.Between(s.lost, s.back)
+	// The bucket of the return itself counts as after it.
+	after, peak, afterSec := counted.Between(s.back.Add(-BucketWidth), watched)
+	f.Before, f.During = float64(before.Calls)/beforeSec, float64(during.Calls)/duringSec
+	f.After, f.AfterSec, f.PeakBytes = float64(after.Calls)/afterSec, afterSec, float64(after.Out)/afterSec
+	f.PeakAfter = float64(peak) / BucketWidth.Seconds()
+	if f.Before > 0 {
+		f.PeakToMean = f.PeakAfter / f.Before
+	}
+	if h != nil {
+		for _, group := range []string{groupSilent, groupZoneBack} {
+			if in, ok := h.InForce[group]; ok {
+				f.NewestAllMS, f.Missed = in.All.Worst, in.Missed
+			}
+		}
+	}
+	return f
+}
