Let calls go both ways through a chain in turns of a second

Cause: the direct half and the half through nodes met other work on the machine: at depth 1 the 99 in 100 of the direct way was 2.48 ms against 1.58 ms through a node, an added latency below zero. Change: rounds of a second alternate; the heap at the end of a run is reported too.

--- a/internal/fleet/hollows.go
+++ b/internal/fleet/hollows.go
@@ -101,11 +101,12 @@
 
 // HollowReport is what the nodes did.
 type HollowReport struct {
-	Phases   [phases]Tally
-	Late     Quantiles // of sends, against the times drawn
-	Latency  Quantiles // from the time drawn to the answer
-	InForce  map[string]InForce
-	Warnings int64 // lines of the nodes' logs at the level of a warning or above
+	Phases    [phases]Tally
+	Late      Quantiles // of sends, against the times drawn
+	Latency   Quantiles // from the time drawn to the answer
+	InForce   map[string]InForce
+	HeapBytes int64 // heap in use more than without nodes, after a collection at the end
+	Warnings  int64 // lines of the nodes' logs at the level of a warning or above
 }
 
 // Hollows is the host of hollow nodes, as a service for a parent process.
@@ -117,6 +118,7 @@
 	late     *latencies
 	latency  *latencies
 	playing  sync.WaitGroup
+	empty    int64 // heap in use without nodes, in bytes
 	warnings *warnings
 }
 
@@ -160,9 +162,8 @@
 	h.services, h.late, h.latency = spec.Services, newLatencies(), newLatencies()
 	h.warnings = &warnings{Handler: slog.NewTextHandler(io.Discard, nil)}
 	log := slog.New(h.warnings)
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
+	before := memory()
+	h.empty = int64(before.HeapAlloc)
 	begun := time.Now()
 	copies := (len(spec.Discovery) + spec.Services - 1) / spec.Services
 	for i, address := range spec.Discovery {
@@ -205,13 +206,19 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	started.HeapBytes = int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	after := memory()
+	started.HeapBytes = int64(after.HeapAlloc) - h.empty
 	started.StackMem = int64(after.StackInuse) - int64(before.StackInuse)
 	return nil
 }
 
+// memory is what is in use after a collection.
+func memory() (m runtime.MemStats) {
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m
+}
+
 // Load begins calls at all nodes and does not wait for their end.
 func (h *Hollows) Load(load HollowLoad, _ *struct{}) error {
 	if load.Rate <= 0 {
@@ -274,6 +281,7 @@
 			break
 		}
 	}
+	report.HeapBytes = int64(memory().HeapAlloc) - h.empty
 	report.Late, report.Latency, report.Warnings = h.late.quantiles(), h.latency.quantiles(), h.warnings.count.Load()
 	return nil
 }
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -32,6 +32,7 @@
 	ReadyMS    float64            `json:"all_ready_after_ms"`
 	CoresNode  float64            `json:"cores_per_node"`
 	HeapNode   float64            `json:"heap_bytes_per_node"`
+	HeapAfter  float64            `json:"heap_bytes_per_node_at_end"` // with what the run notes of each change
 	StackNode  float64            `json:"stack_bytes_per_node"`
 	RSS        int64              `json:"rss_bytes"`
 	Calls      Tally              `json:"calls"`
@@ -43,8 +44,8 @@
 	StormCalls *Tally             `json:"calls_in_storm,omitempty"`
 }
 
-// RealFigures are of the real nodes' processes, from the begin of the calls through them (with no calls,
-// from the begin of the run).
+// RealFigures are of the real nodes' processes, over the rounds in which calls went through them (with no
+// calls, over the run).
 type RealFigures struct {
 	Nodes     int     `json:"nodes"`
 	Alive     int     `json:"alive_at_end"`
@@ -112,8 +113,8 @@
 	row("registry and agents", "%d connections, %.1f calls/s, peak %.0f, in %.0f B/s, out %.0f B/s, %.3f cores, %.1f MB",
 		r.Open, r.Calls, r.Peak, r.BytesIn, r.BytesOut, r.Cores, mega(r.RSS))
 	if h := p.Hollow; h != nil {
-		row("a hollow node", "%.3f%% of a core, heap %.0f KB, stacks %.0f KB; all ready after %.0f ms",
-			100*h.CoresNode, h.HeapNode/1e3, h.StackNode/1e3, h.ReadyMS)
+		row("a hollow node", "%.3f%% of a core, heap %.0f KB (at the end %.0f KB), stacks %.0f KB; all ready after %.0f ms",
+			100*h.CoresNode, h.HeapNode/1e3, h.HeapAfter/1e3, h.StackNode/1e3, h.ReadyMS)
 		if h.Calls.Offered > 0 {
 			row("hollow calls", "%d offered, %d served, %d refused, %d failed; 50/99/99.9 in 100: %.2f/%.2f/%.2f ms; %s",
 				h.Calls.Offered, h.Calls.Served, h.Calls.Refused, h.Calls.Failed, h.Latency.P50, h.Latency.P99, h.Latency.P999, schedule(h.Kept, h.Late))
@@ -130,14 +131,9 @@
 			100*f.CoresMean, 100*f.CoresMax, f.RSSMean/1e6, mega(f.RSSMax), f.Alive, f.Nodes)
 	}
 	if c := p.Chain; c != nil {
-		for _, way := range []struct {
-			name  string
-			way   Way
-			cores float64
-		}{{"direct", c.Direct, c.DirectCores}, {"through nodes", c.Through, c.ThroughCores}} {
-			v := way.way
-			row(fmt.Sprintf("depth %d, %s", c.Depth, way.name), "%d offered, %d served, %d refused, %d failed; 50/99/99.9 in 100: %.2f/%.2f/%.2f ms; %s; %.1f cores in use",
-				v.Offered, v.Served, v.Refused, v.Failed, v.Latency.P50, v.Latency.P99, v.Latency.P999, schedule(v.Kept, v.Late), way.cores)
+		for i, v := range []Way{c.Direct, c.Through} {
+			row(fmt.Sprintf("depth %d, %s", c.Depth, [...]string{"direct", "through nodes"}[i]), "%d offered, %d served, %d refused, %d failed; 50/99/99.9 in 100: %.2f/%.2f/%.2f ms; %s; %.1f cores in use",
+				v.Offered, v.Served, v.Refused, v.Failed, v.Latency.P50, v.Latency.P99, v.Latency.P999, schedule(v.Kept, v.Late), v.Cores)
 		}
 		row(fmt.Sprintf("added by %d nodes", c.Depth), "50/99/99.9 in 100: %.2f/%.2f/%.2f ms", c.AddedP50, c.AddedP99, c.AddedP999)
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -288,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	realBegin := before
+	var realCores []float64
 	if r.hollows != nil {
 		if err := r.hollows.ask(ctx, "Load", HollowLoad{r.args.Rate, r.args.For, r.args.Seed}, &struct{}{}); err != nil {
 			return err
@@ -319,7 +319,7 @@
 		side(func(ctx context.Context) error { return r.reconfigure(ctx, p.Configs) })
 	}
 	if len(r.real) > 0 && r.args.Rate > 0 {
-		side(func(ctx context.Context) (err error) { p.Chain, realBegin, err = r.chain(ctx, before); return err })
+		side(func(ctx context.Context) (err error) { p.Chain, realCores, err = r.chain(ctx); return err })
 	}
 	r.Log.Info("measuring", "for", r.args.For)
 	pause(running, time.Until(before.at.Add(r.args.For)))
@@ -335,7 +335,7 @@
 	if err := r.registry.ask(ctx, "Traffic", struct{}{}, &counted); err != nil {
 		return err
 	}
-	r.fill(p, before, realBegin, after, counted)
+	r.fill(p, before, after, realCores, counted)
 	if r.hollows != nil {
 		if err := r.hollowFigures(ctx, p, before, after, started); err != nil {
 			return err
@@ -347,38 +347,6 @@
 	return nil
 }
 
-// chain plays half of the length directly and half through the nodes.
-func (r *run) chain(ctx context.Context, before usage) (*Chain, usage, error) {
-	half := r.args.For / 2
-	heads := func(chains [][]string) (heads []string) {
-		for _, c := range chains {
-			heads = append(heads, c[0])
-		}
-		return heads
-	}
-	c := &Chain{Depth: r.args.Depth, Chains: len(r.at.Direct), Rate: r.args.Rate}
-	c.Direct = play(ctx, r.caller, heads(r.at.Direct), "direct", r.args.Rate, half, r.args.Seed)
-	middle, err := r.usage()
-	if err != nil {
-		return nil, before, err
-	}
-	var fronts []string
-	for i := 0; i < len(r.real); i += r.args.Depth {
-		fronts = append(fronts, r.real[i].address)
-	}
-	c.Through = play(ctx, r.caller, fronts, "through", r.args.Rate, half, r.args.Seed)
-	after, err := r.usage()
-	if err != nil {
-		return nil, before, err
-	}
-	c.DirectCores = cores(middle.busy-before.busy, before.at, middle.at)
-	c.ThroughCores = cores(after.busy-middle.busy, middle.at, after.at)
-	c.AddedP50 = c.Through.Latency.P50 - c.Direct.Latency.P50
-	c.AddedP99 = c.Through.Latency.P99 - c.Direct.Latency.P99
-	c.AddedP999 = c.Through.Latency.P999 - c.Direct.Latency.P999
-	return c, middle, nil
-}
-
 // reconfigure changes the real nodes' configuration evenly over the run, at least once.
 func (r *run) reconfigure(ctx context.Context, c *Configs) error {
 	every := time.Duration(float64(time.Minute) / r.args.Configs)
@@ -416,8 +384,9 @@
 	return errors.Join(errs...)
 }
 
-// fill notes what the processes used and what passed at the registry.
-func (r *run) fill(p *Point, before, realBegin, after usage, counted Counted) {
+// fill notes what the processes used and what passed at the registry. realCores is what the real nodes used
+// while calls went through them; nil: there were none.
+func (r *run) fill(p *Point, before, after usage, realCores []float64, counted Counted) {
 	sum, peak, seconds := counted.Between(before.at, after.at)
 	p.Seconds = after.at.Sub(before.at).Seconds()
 	p.Busy = cores(after.busy-before.busy, before.at, after.at)
@@ -435,7 +404,10 @@
 		if n.alive() {
 			f.Alive++
 		}
-		used := cores(after.real[i].CPU-realBegin.real[i].CPU, realBegin.at, after.at)
+		used := cores(after.real[i].CPU-before.real[i].CPU, before.at, after.at)
+		if realCores != nil {
+			used = realCores[i]
+		}
 		f.CoresMean += used / float64(len(r.real))
 		f.CoresMax = max(f.CoresMax, used)
 		f.RSSMean += float64(after.real[i].RSS) / float64(len(r.real))
@@ -455,7 +427,7 @@
 	n := float64(r.args.Nodes)
 	h := &HollowFigures{Nodes: r.args.Nodes, ReadyMS: ms(started.Took),
 		CoresNode: cores(after.hollows.CPU-before.hollows.CPU, before.at, after.at) / n,
-		HeapNode:  float64(started.HeapBytes) / n, StackNode: float64(started.StackMem) / n, RSS: after.hollows.RSS,
+		HeapNode:  float64(started.HeapBytes) / n, HeapAfter: float64(report.HeapBytes) / n, StackNode: float64(started.StackMem) / n, RSS: after.hollows.RSS,
 		Late: report.Late, Latency: report.Latency, Kept: report.Late.P99 <= keptWithin,
 		InForce: report.InForce, Warnings: report.Warnings}
 	for _, t := range report.Phases {
--- a/internal/fleet/run_test.go
+++ b/internal/fleet/run_test.go
@@ -91,7 +91,7 @@
 			h.Late.Count != h.Calls.Offered || h.Latency.P50 <= 0 {
 			t.Errorf("%s: calls %+v, latency %+v", mode, h.Calls, h.Latency)
 		}
-		if h.CoresNode <= 0 || h.HeapNode <= 0 || h.RSS <= 0 || h.ReadyMS <= 0 {
+		if h.CoresNode <= 0 || h.HeapNode <= 0 || h.HeapAfter <= 0 || h.RSS <= 0 || h.ReadyMS <= 0 {
 			t.Errorf("%s: figures %+v", mode, h)
 		}
 		r := p.Registry
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -75,6 +75,7 @@
 	if p.Hollow != nil {
 		f["hollow cores a node"] = p.Hollow.CoresNode
 		f["hollow heap bytes a node"] = p.Hollow.HeapNode
+		f["hollow heap bytes a node at the end"] = p.Hollow.HeapAfter
 	}
 	if p.Real != nil {
 		f["real cores a node"] = p.Real.CoresMean
