--- a/cmd/fleetscale/main.go
+++ b/cmd/fleetscale/main.go
@@ -30,6 +30,14 @@
 	JSON string `name:"json" help:"Write the JSON report to this file, not to standard output." type:"path" placeholder:"FILE"`
 }
 
+type single struct {
+	fleet.Args `embed:""`
+	output     `embed:""`
+}
+
+// Validate checks the run. Kong calls it.
+func (s single) Validate() error { return s.Check() }
+
 type sweep struct {
 	fleet.Args `embed:""`
 	output     `embed:""`
@@ -44,11 +52,8 @@
 }
 
 type commands struct {
-	Run struct {
-		fleet.Args `embed:""`
-		output     `embed:""`
-	} `cmd:"" default:"withargs" help:"Make one run, which measures one point."`
-	Sweep sweep `cmd:"" help:"Make runs in a row that differ in one argument, and fit slopes."`
+	Run   single `cmd:"" default:"withargs" help:"Make one run, which measures one point."`
+	Sweep sweep  `cmd:"" help:"Make runs in a row that differ in one argument, and fit slopes."`
 	Child struct {
 		Role string `arg:""`
 	} `cmd:"" hidden:""`
@@ -56,12 +61,16 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
+func newParser(c *commands, stdout, stderr io.Writer, exit func(int)) (*kong.Kong, error) {
+	return kong.New(c, kong.Name("fleetscale"), kong.Writers(stdout, stderr), kong.Exit(exit),
+		kong.Description("Measures what a fleet of nodes costs. Everything stays on this machine's loopback addresses."))
+}
+
 // run does what the arguments say, and tells how to exit.
 func run(args []string, stdout, stderr io.Writer) int {
 	var c commands
 	helped := false
-	parser, err := kong.New(&c, kong.Name("fleetscale"), kong.Writers(stdout, stderr), kong.Exit(func(int) { helped = true }),
-		kong.Description("Measures what a fleet of nodes costs. Everything stays on this machine's loopback addresses."))
+	parser, err := newParser(&c, stdout, stderr, func(int) { helped = true })
 	if err != nil {
 		fmt.Fprintf(stderr, "fleetscale: %v\n", err)
 		return exitUsage
--- a/cmd/fleetscale/main_test.go
+++ b/cmd/fleetscale/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -69,6 +70,19 @@
 	}
 }
 
+// What is varied needs no value beside.
+func TestSweepOverNodesNeedsNoNodes(t *testing.T) {
+	var c commands
+	parser, err := newParser(&c, io.Discard, io.Discard, func(int) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := parser.Parse(strings.Fields("sweep --over nodes --values 10,20 --servers 7"))
+	if err != nil || parsed.Command() != "sweep" || c.Sweep.Servers != 7 || len(c.Sweep.Values) != 2 || c.Sweep.Mode != "pushed" {
+		t.Errorf("%v: %+v", err, c.Sweep)
+	}
+}
+
 func TestHelp(t *testing.T) {
 	var stdout, stderr bytes.Buffer
 	if code := run([]string{"--help"}, &stdout, &stderr); code != 0 || !strings.Contains(stdout.String(), "sweep") || strings.Contains(stdout.String(), "child") {
--- a/internal/fleet/args.go
+++ b/internal/fleet/args.go
@@ -35,8 +35,8 @@
 	Program  string        `help:"The real nodes' program; built by go build where none is named." type:"path" json:"program,omitempty"`
 }
 
-// Validate names the first argument at fault. Kong calls it.
-func (a Args) Validate() error {
+// Check names the first argument at fault.
+func (a Args) Check() error {
 	between := func(name string, v, least, most float64) error {
 		if !(v >= least && v <= most) {
 			return fmt.Errorf("--%s must be from %v to %v, not %v", name, least, most, v)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -57,7 +57,7 @@
 
 // Run makes one run. It ends within its bound, with its children gone.
 func (r Runner) Run(ctx context.Context, args Args) (p Point, err error) {
-	if err := args.Validate(); err != nil {
+	if err := args.Check(); err != nil {
 		return Point{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, args.bound()-2*endWait)
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -20,7 +20,7 @@
 	for _, v := range values {
 		one := args
 		set(&one, v)
-		if err := one.Validate(); err != nil {
+		if err := one.Check(); err != nil {
 			return nil, fmt.Errorf("at %s %d: %w", over, v, err)
 		}
 		plan = append(plan, one)
