--- a/internal/fleet/args.go
+++ b/internal/fleet/args.go
@@ -31,7 +31,7 @@
 	Rate     float64       `help:"Calls a second at each node." default:"0" json:"rate"`
 	Service  time.Duration `help:"Mean time that a server takes for a request, drawn anew for each." default:"0s" json:"service"`
 	Seed     uint64        `help:"Seed of all that is drawn." default:"1" json:"seed"`
-	For      time.Duration `help:"Length of the run, without its start and end." default:"10s" json:"for"`
+	For      time.Duration `help:"Length of the run; its start and end take two minutes more at most." default:"10s" json:"for"`
 	Program  string        `help:"The real nodes' program; built by go build where none is named." type:"path" json:"program,omitempty"`
 }
 
