--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -48,14 +48,14 @@
 // list that changes something; neither may block.
 func NewHollow(cfg Config, log *slog.Logger, serve func(server string) (time.Duration, woodpick.Ending),
 	onList func(rev int64, at time.Time)) (*Hollow, error) {
-	set := cfg.Settings
-	set.AskWithin = min(set.AskWithin, toldLatest) // as in New
+	set := moduleSettings(cfg)
 	balancer, err := woodpick.New(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("hollow node: %w", err)
 	}
 	h := &Hollow{push: !set.AskDiscovery, serve: serve, onList: onList, over: make(chan struct{})}
 	h.loop = newLoop(balancer, newClock(), log)
+	h.loop.rules.Store(newRules(1, set))
 	h.loop.start, h.loop.servers, h.loop.push = h.start, h.taken, h.push
 	h.discovery = newDiscovery(cfg, -1, h.post, log)
 	h.loop.subscribe = h.discovery.subscribe
@@ -91,7 +91,7 @@
 	id := strconv.FormatInt(h.calls, 10)
 	h.mu.Unlock()
 	now := h.loop.clock.now()
-	c := &call{id: id, class: class, at: now, deadline: now + deadline, answer: make(chan answer, 1)}
+	c := &call{id: id, class: class, at: now, deadline: now + deadline, revision: 1, answer: make(chan answer, 1)}
 	h.post(arrived{c})
 	go func() {
 		select {
