--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -80,23 +80,7 @@
 	} else {
 		close(dials.through)
 	}
-	other := dial(t, n)
-	other.get("other")
-	other.want(t, 200, "for other")
-	until(t, "the first attempt's end", func() bool {
-		n.backend.mu.Lock()
-		defer n.backend.mu.Unlock()
-		kept := 0
-		for _, idle := range n.backend.idle {
-			kept += len(idle)
-		}
-		return kept == n.backend.open
-	})
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.requests) != 1 || s.requests[0] != "other" {
-		t.Errorf("the server got %v", s.requests)
-	}
+	nothingOfTheLeavers(t, n, s, map[string]int{"other": 1})
 }
 
 // readAhead is how many bytes are kept of callers whose requests are not answered.
