Let cold servers take what warm ones bore at their best, by thinned draws as before

Change: the share's cap is gone, the draw is thinned by warmth as it was before, and what servers bear counts at its best of late.

--- a/slowstart.go
+++ b/slowstart.go
@@ -10,10 +10,10 @@
 
 // Constants are shares, ratios or counts, as in policy.go.
 const (
+	bestKept   = 8.0 // times as long as what servers bear is remembered, it is at their best
 	lightPart  = 6.0 // times its warmth, of the mean effort, that a cold server takes at most
 	rarity     = 9.0 // exponent of the chance that what comes to a cold server in a window pushes it over
 	outside    = 0.1 // calls in a window that copies together send a cold server that is not in their pools
-	eager      = 1.3 // times a cold server's share of the calls that its credit grows by: some is never used
 	unused     = 2.0 // mean times between own calls, beyond a part of a window, after which credit is lost
 	lateWindow = 4   // that part of a window, and the times in it that held calls look for credit, halved
 )
@@ -31,7 +31,7 @@
 // warmEnough keeps a cold server to one own call at a time, to the credit that it has here, and to its share
 // of a warm one's work. Where effort is hinted that share is made of the lighter requests: a heavy one takes
 // a cold server many times as long and is late, and what is worth most is lost, while a light one has time
-// to spare. Where neither hints nor a limit are told, the draw is thinned to the share.
+// to spare. Without hints the draw is thinned to the share.
 func (b *Balancer) warmEnough(s *server, r *request) bool {
 	w := b.warmth(s)
 	switch {
@@ -42,7 +42,7 @@
 	case r.effort > 0:
 		return r.effort <= lightPart*w*b.effort
 	}
-	return b.limited() || b.rng.Float64() < w
+	return b.rng.Float64() < w
 }
 
 // borne is what servers bear of this copy's calls: good answers a second for each unit of their warmth. Each
@@ -51,17 +51,23 @@
 type borne struct {
 	answers float64 // decayed; each counts one over the warmth of those that it could have come from
 	seconds float64 // in which such an answer could have come, decayed alike
+	most    float64 // answers a second at the best time, decayed more slowly
 	at      time.Duration
 }
 
-// rate is in answers a second, once a window of seconds or more was seen.
-func (r borne) rate(window float64) float64 { return r.answers / max(r.seconds, window) }
+// rate is in answers a second, once a window of seconds or more was seen, at the best time of late: servers
+// that are crowded because others are cold choke and answer less than they could.
+func (r *borne) rate(window float64) float64 {
+	r.most = max(r.most, r.answers/max(r.seconds, window))
+	return r.most
+}
 
 // note brings the figure up to now, forgetting over a number of seconds. An answer, if one has come, was of
 // one of the servers of a pool that have so much warmth together.
 func (r *borne) note(now time.Duration, over, warmth float64, answered bool) {
 	if warmth > 0 && r.at > 0 {
 		keep := math.Exp(-(now - r.at).Seconds() / over)
+		r.most *= math.Exp(-(now - r.at).Seconds() / (bestKept * over))
 		r.answers *= keep
 		r.seconds = r.seconds*keep + over*(1-keep)
 	}
@@ -131,7 +137,6 @@
 	known  bool
 	each   float64 // own good answers a second that a warm server bears
 	copies float64 // that have a server in their pools
-	share  float64 // of this copy's requests, a second, that falls to a warm server
 }
 
 // findPace brings the pace up to now. The copies that have a server in their pools are taken to have them as
@@ -144,15 +149,13 @@
 	b.bear(nil)
 	window, every := b.set.FallFor.Seconds(), max(b.interval.Seconds(), 1e-9)
 	asked := 1 / every / float64(max(1, b.width)) * (1 - b.warmBorne.seconds/b.ramp())
-	warm, cold := b.poolWarmth()
 	b.pace = pace{at: b.now, known: true,
 		each:   max(b.warmBorne.rate(window), b.coldBorne.rate(window), asked),
-		copies: max(1, float64(b.set.Balancers)*float64(b.width)/float64(max(1, len(b.ready)))),
-		share:  1 / max(warm+cold, 1e-9) / every}
+		copies: max(1, float64(b.set.Balancers)*float64(b.width)/float64(max(1, len(b.ready))))}
 }
 
 // creditRate is how fast the credit of a cold server grows, in requests of mean work a second: by this copy's
-// part of what all may send it, and no faster than by its share of this copy's requests.
+// part of what all may send it.
 func (b *Balancer) creditRate(s *server) float64 {
 	b.findPace()
 	window, warmth := b.set.FallFor.Seconds(), b.warmth(s)
@@ -161,7 +164,7 @@
 		copies = b.pace.copies
 		most = max(most, safeMean(b.set.FallMultiple*warmth*b.pace.each*copies*window))
 	}
-	return min(most/copies/window, eager*warmth*b.pace.share)
+	return most / copies / window
 }
 
 // safeMean is what may come in a window on average for hardly any window to go over N + 2 x root of N + 2
