Test lists of 1,024 servers and copies, and let fleetscale start 1,100 processes

The scale tool took 50 processes at most; no list of servers or processes is to have a cap under 1,024. A run of more than 50 processes was not made.

--- a/internal/fleet/args.go
+++ b/internal/fleet/args.go
@@ -9,7 +9,7 @@
 // Bounds of a run.
 const (
 	mostHollow = 1100
-	mostReal   = 50
+	mostReal   = 1100
 	mostFor    = 10 * time.Minute
 	mostCalls  = 400000 // a second over all nodes
 	// Margin is how much longer than its length a run may take in all: to build the program and start
--- /dev/null
+++ b/scale_test.go
@@ -0,0 +1,41 @@
+package woodpick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Lists of 1,024 servers and as many copies are used whole: all copies' pools together hold each server, each
+// as often as the others, and a copy that is refused by its pool finds the rest.
+func TestThousandServersAndCopies(t *testing.T) {
+	const many = 1024
+	var list []Server
+	for i := range many {
+		list = append(list, Server{ID: fmt.Sprintf("s%04d", i), Zone: "z", Size: 1})
+	}
+	pooled := map[string]int{}
+	for i := range many {
+		b := newBalancer(t, func(s *Settings) { s.Balancers, s.Index, s.Zone, s.Zones, s.Tier = many, i, "z", 1, 1 })
+		b.Handle(0, ServerList{Full: true, Servers: list})
+		acts := b.Handle(0, Request{ID: "r", Class: "get", Deadline: time.Second})
+		if len(sends(acts)) != 1 {
+			t.Fatalf("copy %d: a request led to %v", i, acts)
+		}
+		for _, s := range b.ready {
+			if s.pooled {
+				pooled[s.ID]++
+			}
+		}
+	}
+	if len(pooled) != many {
+		t.Errorf("%d of %d servers are in a pool", len(pooled), many)
+	}
+	least, most := many, 0
+	for _, n := range pooled {
+		least, most = min(least, n), max(most, n)
+	}
+	if least < poolOverlap || most > 2*least {
+		t.Errorf("servers are in %d to %d pools, want alike and at least %d", least, most, poolOverlap)
+	}
+}
