--- a/admission.go
+++ b/admission.go
@@ -1,7 +1,7 @@
 // Admission: how many calls the first tier has out, which requests may fill that window, and what is shed
 // when not all can.
 
-package woodpick
+package balancer
 
 import "math"
 
--- a/woodpick.go
+++ b/balancer.go
@@ -1,4 +1,4 @@
-// Package woodpick decides where a load balancer sends each request, when it tries again and
+// Package balancer decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
 // actions it returns. This file is the whole interface; every decision is in policy.go and admission.go.
 //
@@ -7,7 +7,7 @@
 // give the same actions. Balancers share nothing. Memory is held for each request until it is
 // answered and its attempts have ended, and for each server until it has left the list and its
 // attempts have ended.
-package woodpick
+package balancer
 
 import (
 	"fmt"
@@ -77,18 +77,18 @@
 // Validate names the first setting that is out of range.
 func (s Settings) Validate() error {
 	if len(s.Classes) == 0 {
-		return fmt.Errorf("woodpick: Classes is empty")
+		return fmt.Errorf("balancer: Classes is empty")
 	}
 	seen := map[string]bool{}
 	for i, c := range s.Classes {
 		field := func(name string) error {
-			return fmt.Errorf("woodpick: Classes[%d].%s (class %q) is out of range", i, name, c.Name)
+			return fmt.Errorf("balancer: Classes[%d].%s (class %q) is out of range", i, name, c.Name)
 		}
 		switch {
 		case c.Name == "":
-			return fmt.Errorf("woodpick: Classes[%d].Name is empty", i)
+			return fmt.Errorf("balancer: Classes[%d].Name is empty", i)
 		case seen[c.Name]:
-			return fmt.Errorf("woodpick: Classes[%d].Name %q is used twice", i, c.Name)
+			return fmt.Errorf("balancer: Classes[%d].Name %q is used twice", i, c.Name)
 		case c.Aim <= 0:
 			return field("Aim")
 		case c.Deadline <= 0:
@@ -114,7 +114,7 @@
 		{"Tick", float64(s.Tick), math.MaxInt64}, {"MaxRetryAfter", float64(s.MaxRetryAfter), math.MaxInt64},
 		{"WarmAfter", float64(s.WarmAfter), math.MaxInt64}} {
 		if !(f.value >= 0 && f.value <= f.max) { // NaN fails too
-			return fmt.Errorf("woodpick: %s is out of range: %v", f.name, f.value)
+			return fmt.Errorf("balancer: %s is out of range: %v", f.name, f.value)
 		}
 	}
 	return nil
--- a/cmd/woodpick-sim/main.go
+++ b/cmd/balancer-sim/main.go
@@ -1,4 +1,4 @@
-// Command woodpick-sim hosts Balancers on the simulator's wire: batches of events on standard
+// Command balancer-sim hosts Balancers on the simulator's wire: batches of events on standard
 // input, one reply for each on standard output.
 package main
 
@@ -9,13 +9,13 @@
 	"os"
 	"time"
 
-	"woodpick"
-	"woodpick/internal/wire"
+	"balancer"
+	"balancer/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintf(os.Stderr, "woodpick-sim: %v\n", err)
+		fmt.Fprintf(os.Stderr, "balancer-sim: %v\n", err)
 		os.Exit(1)
 	}
 }
@@ -25,7 +25,7 @@
 	dec := wire.NewDecoder(in)
 	var reply bytes.Buffer
 	enc := wire.NewEncoder(&reply)
-	hosted := map[int]*woodpick.Balancer{}
+	hosted := map[int]*balancer.Balancer{}
 	var now time.Duration
 	for {
 		m, err := dec.Next()
@@ -39,7 +39,7 @@
 		case wire.Sync:
 			now = m.Now
 		case wire.Hello:
-			b, err := woodpick.New(m.Settings, m.Seed)
+			b, err := balancer.New(m.Settings, m.Seed)
 			if err != nil {
 				return fmt.Errorf("instance %d: %w", m.Instance, err)
 			}
--- a/cmd/damsontrestle/fleet_test.go
+++ b/cmd/balancer/fleet_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	program.once.Do(func() {
 		dir, run, _ := build(t)
-		kept, err := os.MkdirTemp("", "damsontrestle")
+		kept, err := os.MkdirTemp("", "balancer")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/damsontrestle/main.go
+++ b/cmd/balancer/main.go
@@ -1,4 +1,4 @@
-// Command damsontrestle is one load-balancing node on real sockets, told all by BALANCER_CONFIG.
+// Command balancer is one load-balancing node on real sockets, told all by BALANCER_CONFIG.
 package main
 
 import (
@@ -9,12 +9,12 @@
 	"os/signal"
 	"syscall"
 
-	"woodpick/internal/node"
+	"balancer/internal/node"
 )
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintf(os.Stderr, "damsontrestle: %v\n", err)
+		fmt.Fprintf(os.Stderr, "balancer: %v\n", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/damsontrestle/main_test.go
+++ b/cmd/balancer/main_test.go
@@ -318,7 +318,7 @@
 		cmd := exec.Command("/bin/sh", "-c", run)
 		cmd.Dir, cmd.Env = dir, append(os.Environ(), "BALANCER_CONFIG="+path)
 		out, err := cmd.CombinedOutput()
-		if err == nil || !strings.HasPrefix(string(out), "damsontrestle: config: ") ||
+		if err == nil || !strings.HasPrefix(string(out), "balancer: config: ") ||
 			strings.Count(string(out), "\n") != 1 {
 			t.Errorf("%s: %v, output %q", name, err, out)
 		}
--- a/cmd/fleetscale/main.go
+++ b/cmd/fleetscale/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"woodpick/internal/fleet"
+	"balancer/internal/fleet"
 )
 
 // How the program exits.
--- a/cmd/fleetscale/main_test.go
+++ b/cmd/fleetscale/main_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"woodpick/internal/fleet"
+	"balancer/internal/fleet"
 )
 
 // limit is how long a test waits for what must come; only a failing one waits so long.
@@ -124,8 +124,8 @@
 
 // SIGTERM and SIGINT end a run and all its children; so does its own sudden death.
 func TestSignalsLeaveNoChildren(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "damsontrestle")
-	if out, err := exec.Command("go", "build", "-o", program, "woodpick/cmd/damsontrestle").CombinedOutput(); err != nil {
+	program := filepath.Join(t.TempDir(), "balancer")
+	if out, err := exec.Command("go", "build", "-o", program, "balancer/cmd/balancer").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGKILL} {
--- a/internal/fleet/hollows.go
+++ b/internal/fleet/hollows.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"woodpick"
-	"woodpick/internal/node"
+	"balancer"
+	"balancer/internal/node"
 )
 
 // Phases of a storm, in which calls are counted apart.
@@ -178,8 +178,8 @@
 		}
 		one := &hollow{}
 		draws := rand.New(rand.NewPCG(spec.Seed, uint64(i)))
-		if one.Hollow, err = node.NewHollow(cfg, log, func(string) (time.Duration, woodpick.Ending) {
-			return time.Duration(draws.ExpFloat64() * float64(spec.Service)), woodpick.Success // the loop alone draws
+		if one.Hollow, err = node.NewHollow(cfg, log, func(string) (time.Duration, balancer.Ending) {
+			return time.Duration(draws.ExpFloat64() * float64(spec.Service)), balancer.Success // the loop alone draws
 		}, func(rev int64, at time.Time) {
 			one.mu.Lock()
 			one.taken = append(one.taken, taken{rev, at})
--- a/internal/fleet/realnodes.go
+++ b/internal/fleet/realnodes.go
@@ -19,8 +19,8 @@
 
 // build makes the real nodes' program in a folder.
 func build(ctx context.Context, dir string) (string, error) {
-	path := filepath.Join(dir, "damsontrestle")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, "woodpick/cmd/damsontrestle").CombinedOutput()
+	path := filepath.Join(dir, "balancer")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, "balancer/cmd/balancer").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, strings.TrimSpace(string(out)))
 	}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // restFor is how long a connection rests after an answer before it carries another request. A second copy
@@ -54,7 +54,7 @@
 
 // result is how an attempt ended.
 type result struct {
-	ending      woodpick.Ending
+	ending      balancer.Ending
 	at          time.Duration // when: for an answer, when its last byte was read
 	body        []byte
 	contentType string
@@ -185,15 +185,15 @@
 		c, fresh, err = b.connect(ctx, a.to, waiter)
 		switch {
 		case errors.Is(err, errNoRoom):
-			return result{ending: woodpick.Void}
+			return result{ending: balancer.Void}
 		case err != nil && errors.Is(a.ctx.Err(), context.Canceled):
-			return result{ending: woodpick.Withdrawn}
+			return result{ending: balancer.Withdrawn}
 		case err != nil:
-			return result{ending: woodpick.Unreachable}
+			return result{ending: balancer.Unreachable}
 		}
 		if text, err = encode(a, b.clock.until(a.deadline)); err != nil {
 			b.giveUp(c, waiter)
-			return result{ending: woodpick.Void}
+			return result{ending: balancer.Void}
 		}
 		may := b.begin(ctx, c, waiter, a)
 		if may == mayWrite {
@@ -201,11 +201,11 @@
 		}
 		switch {
 		case errors.Is(a.ctx.Err(), context.Canceled):
-			return result{ending: woodpick.Withdrawn}
+			return result{ending: balancer.Withdrawn}
 		case may == mayNot:
-			return result{ending: woodpick.Void}
+			return result{ending: balancer.Void}
 		case fresh || ctx.Err() != nil:
-			return result{ending: woodpick.Unreachable}
+			return result{ending: balancer.Unreachable}
 		}
 	}
 	// A timed-out or cancelled attempt closes its connection, which ends the wait below.
@@ -222,14 +222,14 @@
 	case got.err == nil:
 		return got.result
 	case errors.Is(a.ctx.Err(), context.Canceled):
-		return result{ending: woodpick.Withdrawn}
+		return result{ending: balancer.Withdrawn}
 	case sent < len(text):
 		// The server never got the last byte, so it has not begun: sending again is harmless.
-		return result{ending: woodpick.Unreachable}
+		return result{ending: balancer.Unreachable}
 	case ctx.Err() != nil:
-		return result{ending: woodpick.TimedOut}
+		return result{ending: balancer.TimedOut}
 	}
-	return result{ending: woodpick.Broken}
+	return result{ending: balancer.Broken}
 }
 
 // encode writes the request to a server. Method, target, body, id and idempotency key go on as they came.
@@ -330,7 +330,7 @@
 // holds mu.
 func (b *backend) serves(h host) bool {
 	t, listed := b.seen[h.server]
-	return listed && t.State == woodpick.Ready && t.host() == h
+	return listed && t.State == balancer.Ready && t.host() == h
 }
 
 // take returns the idle connection used last of those that have rested, or nil once there is room to open
@@ -494,12 +494,12 @@
 	r := reply{result: result{at: b.clock.now()}}
 	switch {
 	case ok:
-		r.ending, r.body, r.contentType = woodpick.Success, body, resp.Header.Get("Content-Type")
+		r.ending, r.body, r.contentType = balancer.Success, body, resp.Header.Get("Content-Type")
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Run") == "1" && framed && err == nil:
-		r.ending = woodpick.Overloaded // only a whole answer proves that it never ran
+		r.ending = balancer.Overloaded // only a whole answer proves that it never ran
 	default:
-		r.ending = woodpick.Failure
+		r.ending = balancer.Failure
 	}
 	return r, err == nil && framed && !resp.Close && c.br.Buffered() == 0
 }
@@ -549,10 +549,10 @@
 		named[t.ID] = true
 		old, known := b.seen[t.ID]
 		b.seen[t.ID] = t
-		if known && (t.State != woodpick.Ready || t.host() != old.host()) {
+		if known && (t.State != balancer.Ready || t.host() != old.host()) {
 			b.dropIdle(old.host())
 		}
-		if t.State == woodpick.Gone {
+		if t.State == balancer.Gone {
 			delete(b.seen, t.ID)
 		}
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,4 +1,4 @@
-// Package node is the real node round the woodpick module: HTTP/1.1 callers on one side, servers and
+// Package node is the real node round the balancer module: HTTP/1.1 callers on one side, servers and
 // discovery on the other. Every decision is the module's; this package carries it out.
 package node
 
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"woodpick"
-	"woodpick/internal/wire"
+	"balancer"
+	"balancer/internal/wire"
 )
 
 // Config is what a node is told at its start.
@@ -27,7 +27,7 @@
 	Sockets   int
 	Known     json.RawMessage // the list as the node last had it, perhaps old
 
-	Settings       woodpick.Settings
+	Settings       balancer.Settings
 	ConnIdle       time.Duration // a server closes a connection idle for so long
 	ConnectTimeout time.Duration
 }
@@ -88,7 +88,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	if _, err := woodpick.New(set, 0); err != nil {
+	if _, err := balancer.New(set, 0); err != nil {
 		return Config{}, fmt.Errorf("config: settings: %w", err)
 	}
 	for _, a := range [][2]string{{"listen", f.Listen}, {"discovery", f.Discovery}} {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // Times of a watch. The worst that they make of a call that was lost comes to less than toldLatest: from the
@@ -53,14 +53,14 @@
 
 // target is an entry of a list: the module's view of a server, and where it listens.
 type target struct {
-	woodpick.Server
+	balancer.Server
 	endpoint string
 }
 
 func (t target) host() host { return host{t.ID, t.endpoint, t.Boot} }
 
-var states = map[string]woodpick.ServerState{
-	"in_service": woodpick.Ready, "terminating": woodpick.Draining, "terminated": woodpick.Gone,
+var states = map[string]balancer.ServerState{
+	"in_service": balancer.Ready, "terminating": balancer.Draining, "terminated": balancer.Gone,
 }
 
 // parseList reads a list. A malformed one is dropped whole: half a list would look like the rest
@@ -95,13 +95,13 @@
 			return list{}, fmt.Errorf("list: targets[%d]: uid %q is empty or comes twice", i, t.UID)
 		case !ok:
 			return list{}, fmt.Errorf("list: targets[%d]: unknown state %q", i, t.State)
-		case err != nil && state != woodpick.Gone:
+		case err != nil && state != balancer.Gone:
 			return list{}, fmt.Errorf("list: targets[%d]: %w", i, err)
 		case !(t.Size >= 0 && t.Size <= 1e12) || !(t.Boot >= 0 && t.Boot <= 1e13) || !(math.Abs(t.Cell) <= 1e9):
 			return list{}, fmt.Errorf("list: targets[%d]: capacity_hint, boot_ms or pod_group is out of range", i)
 		}
 		seen[t.UID] = true
-		l.targets = append(l.targets, target{endpoint: t.Endpoint, Server: woodpick.Server{ID: t.UID,
+		l.targets = append(l.targets, target{endpoint: t.Endpoint, Server: balancer.Server{ID: t.UID,
 			Zone: t.Zone, Cell: int(t.Cell), State: state, Size: t.Size, Boot: millis(t.Boot)}})
 	}
 	return l, nil
--- a/internal/node/edge_test.go
+++ b/internal/node/edge_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // heldDial holds each connection back once it is up, until it is let through: as one that comes up late.
@@ -49,23 +49,23 @@
 // What happens while a connection comes up is heeded at the first byte.
 func TestNothingIsBegunThatBecamePointlessWhileTheConnectionCameUp(t *testing.T) {
 	now := func(b *backend, h host, change func(*target)) {
-		e := target{Server: woodpick.Server{ID: h.server, State: woodpick.Ready, Boot: h.boot}, endpoint: h.endpoint}
+		e := target{Server: balancer.Server{ID: h.server, State: balancer.Ready, Boot: h.boot}, endpoint: h.endpoint}
 		change(&e)
 		b.servers([]target{e}, false)
 	}
 	for _, c := range []struct {
 		name string
 		do   func(*backend, *attempt)
-		want woodpick.Ending
+		want balancer.Ending
 	}{
-		{"drains", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.State = woodpick.Draining }) }, woodpick.Void},
-		{"gone", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.State = woodpick.Gone }) }, woodpick.Void},
-		{"left out of a whole list", func(b *backend, a *attempt) { b.servers(nil, true) }, woodpick.Void},
-		{"started anew", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.Boot = time.Hour }) }, woodpick.Void},
-		{"moved", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.endpoint = "127.0.0.1:2" }) }, woodpick.Void},
-		{"its caller left", func(b *backend, a *attempt) { a.call.part() }, woodpick.Void},
-		{"called off", func(b *backend, a *attempt) { a.cancel() }, woodpick.Withdrawn},
-		{"repeats are discarded no longer", func(b *backend, a *attempt) { a.before = b.clock.now() }, woodpick.Void},
+		{"drains", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.State = balancer.Draining }) }, balancer.Void},
+		{"gone", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.State = balancer.Gone }) }, balancer.Void},
+		{"left out of a whole list", func(b *backend, a *attempt) { b.servers(nil, true) }, balancer.Void},
+		{"started anew", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.Boot = time.Hour }) }, balancer.Void},
+		{"moved", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.endpoint = "127.0.0.1:2" }) }, balancer.Void},
+		{"its caller left", func(b *backend, a *attempt) { a.call.part() }, balancer.Void},
+		{"called off", func(b *backend, a *attempt) { a.cancel() }, balancer.Withdrawn},
+		{"repeats are discarded no longer", func(b *backend, a *attempt) { a.before = b.clock.now() }, balancer.Void},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			addr, came := sink(t)
@@ -103,7 +103,7 @@
 	a.call.part()
 	close(held.through)
 	wait(t, end, "the attempt's end")
-	if r := run(t, b, testAttempt(b, s.addr())); r.ending != woodpick.Success || s.opened() != 1 || s.seen() != 1 {
+	if r := run(t, b, testAttempt(b, s.addr())); r.ending != balancer.Success || s.opened() != 1 || s.seen() != 1 {
 		t.Errorf("ending %d, %d connections, %d requests", r.ending, s.opened(), s.seen())
 	}
 }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // Limits on what a caller may make the node wait for.
@@ -61,12 +61,12 @@
 // rules are what requests are checked against: the part of one revision of the settings that callers see.
 type rules struct {
 	revision int // of the configuration, 1 being the one that the node started with
-	classes  map[string]woodpick.Class
+	classes  map[string]balancer.Class
 	advice   time.Duration // when to come back after a refusal for want of descriptors; 0: clients take none
 }
 
-func newRules(revision int, set woodpick.Settings) *rules {
-	r := &rules{revision: revision, classes: map[string]woodpick.Class{},
+func newRules(revision int, set balancer.Settings) *rules {
+	r := &rules{revision: revision, classes: map[string]balancer.Class{},
 		advice: min(set.MaxRetryAfter, max(set.Tick, time.Millisecond))}
 	for _, class := range set.Classes {
 		r.classes[class.Name] = class
@@ -80,9 +80,9 @@
 	switch {
 	case !known:
 		return &rejected{http.StatusNotFound, "the path names no class"}
-	case (class.Effect == woodpick.Safe) != (c.method == http.MethodGet):
+	case (class.Effect == balancer.Safe) != (c.method == http.MethodGet):
 		return &rejected{http.StatusMethodNotAllowed, "the class is not asked for by this method"}
-	case (c.key != "") != (class.Effect == woodpick.Keyed):
+	case (c.key != "") != (class.Effect == balancer.Keyed):
 		return &rejected{http.StatusBadRequest, "Idempotency-Key does not fit the class"}
 	}
 	c.revision = r.revision
--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // Answer says how a call that was made on a Hollow ended.
@@ -28,7 +28,7 @@
 	loop      *loop
 	discovery *discovery
 	push      bool
-	serve     func(server string) (time.Duration, woodpick.Ending)
+	serve     func(server string) (time.Duration, balancer.Ending)
 	onList    func(rev int64, at time.Time)
 	over      chan struct{} // closed once the loop takes no more events
 
@@ -46,10 +46,10 @@
 // NewHollow puts a hollow node together; cfg.Listen is not used. serve draws how an attempt at a server ends
 // and after how long. onList is called, from the goroutine of the loop, as the module is about to be told of a
 // list that changes something; neither may block.
-func NewHollow(cfg Config, log *slog.Logger, serve func(server string) (time.Duration, woodpick.Ending),
+func NewHollow(cfg Config, log *slog.Logger, serve func(server string) (time.Duration, balancer.Ending),
 	onList func(rev int64, at time.Time)) (*Hollow, error) {
 	set := moduleSettings(cfg)
-	balancer, err := woodpick.New(set, cfg.Seed)
+	balancer, err := balancer.New(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("hollow node: %w", err)
 	}
@@ -144,7 +144,7 @@
 func (h *Hollow) start(a *attempt) {
 	delay, ending := h.serve(a.to.server)
 	if left := h.loop.clock.until(a.deadline); delay > left {
-		delay, ending = left, woodpick.TimedOut
+		delay, ending = left, balancer.TimedOut
 	}
 	go func() {
 		timer := time.NewTimer(delay)
@@ -152,7 +152,7 @@
 		select {
 		case <-timer.C:
 		case <-a.ctx.Done():
-			ending = woodpick.Withdrawn
+			ending = balancer.Withdrawn
 		case <-h.over:
 		}
 		a.cancel()
--- a/internal/node/hollow_test.go
+++ b/internal/node/hollow_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // A hollow node takes lists from discovery, tells of each that changes something, and answers calls from
@@ -20,11 +20,11 @@
 		lists := make(chan int64, 10)
 		var delay atomic.Int64
 		delay.Store(int64(time.Millisecond))
-		h, err := NewHollow(cfg, testLog(), func(server string) (time.Duration, woodpick.Ending) {
+		h, err := NewHollow(cfg, testLog(), func(server string) (time.Duration, balancer.Ending) {
 			if server != "s1" {
 				t.Errorf("sent to %q", server)
 			}
-			return time.Duration(delay.Load()), woodpick.Success
+			return time.Duration(delay.Load()), balancer.Success
 		}, func(rev int64, at time.Time) { lists <- rev })
 		if err != nil {
 			t.Fatal(err)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // clock tells Unix time, moved by the monotonic clock: it compares with boot_ms and never jumps.
@@ -106,7 +106,7 @@
 	listFailed  struct{}
 	listLate    struct{} // discovery says nothing: the list that the node last had must do
 	newSettings struct {
-		settings woodpick.Settings
+		settings balancer.Settings
 		rules    *rules
 		inForce  func(at time.Duration)
 	}
@@ -155,7 +155,7 @@
 // channels with room, and attempts run in goroutines of their own.
 type loop struct {
 	clock     clock
-	balancer  *woodpick.Balancer
+	balancer  *balancer.Balancer
 	events    chan event
 	start     func(*attempt) // begins an attempt; must not block
 	subscribe func()
@@ -175,7 +175,7 @@
 	stats   stats
 }
 
-func newLoop(b *woodpick.Balancer, c clock, log *slog.Logger) *loop {
+func newLoop(b *balancer.Balancer, c clock, log *slog.Logger) *loop {
 	return &loop{clock: c, balancer: b, sockets: func() []any { return nil }, events: make(chan event, 1024), log: log,
 		pending: map[string]*pending{}, listed: map[string]target{}}
 }
@@ -217,7 +217,7 @@
 			return
 		}
 		a := heap.Pop(&l.alarms).(alarm)
-		l.handle(now, woodpick.Timer{Token: a.token})
+		l.handle(now, balancer.Timer{Token: a.token})
 	}
 }
 
@@ -240,7 +240,7 @@
 		}
 		l.stats.Requests++
 		l.pending[e.call.id] = &pending{call: e.call}
-		l.handle(e.call.at, woodpick.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline,
+		l.handle(e.call.at, balancer.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline,
 			Effort: e.call.effort})
 	case callerGone:
 		l.lag(e.at)
@@ -251,11 +251,11 @@
 		l.lag(e.result.at)
 		l.end(e.attempt, e.result)
 	case newSettings:
-		l.handle(l.clock.now(), woodpick.Reconfigure{Settings: e.settings})
+		l.handle(l.clock.now(), balancer.Reconfigure{Settings: e.settings})
 		l.rules.Store(e.rules)
 		e.inForce(l.clock.now())
 	case lastCall:
-		l.handle(l.clock.now(), woodpick.Closing{})
+		l.handle(l.clock.now(), balancer.Closing{})
 		for _, p := range l.pending { // to the module these are answered
 			if p.parted != present && !p.answered {
 				l.conclude(p)
@@ -267,7 +267,7 @@
 		}
 		l.takeList(e.list, false)
 	case listFailed:
-		l.handle(l.clock.now(), woodpick.ListFailed{})
+		l.handle(l.clock.now(), balancer.ListFailed{})
 	case listLate:
 		l.takeKnown()
 	}
@@ -281,7 +281,7 @@
 	p.parted, p.advice = e.how, e.advice
 	if first {
 		l.stats.Gone++
-		l.handle(e.at, woodpick.ClientGone{ID: e.call.id})
+		l.handle(e.at, balancer.ClientGone{ID: e.call.id})
 	}
 	if e.how == gone {
 		p.answered = true // nobody reads one
@@ -335,15 +335,15 @@
 	p.out--
 	a.ended = true
 	switch r.ending {
-	case woodpick.Unreachable, woodpick.Overloaded, woodpick.Void:
+	case balancer.Unreachable, balancer.Overloaded, balancer.Void:
 	default:
 		p.ran = p.ran || a.hasBegun()
 	}
-	if r.ending == woodpick.Success && !p.answered {
+	if r.ending == balancer.Success && !p.answered {
 		l.stats.Served++
 		l.answer(p, answer{kind: served, body: r.body, header: r.contentType})
 	}
-	l.handle(r.at, woodpick.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
+	l.handle(r.at, balancer.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
 		Latency: r.at - a.sent, Ended: p.answered})
 	if p.parted != present {
 		l.concludeUnlessBegun(p)
@@ -385,10 +385,10 @@
 	if news.full {
 		clear(l.listed)
 	}
-	e := woodpick.ServerList{Full: news.full, Cached: cached}
+	e := balancer.ServerList{Full: news.full, Cached: cached}
 	for _, t := range news.targets {
 		e.Servers = append(e.Servers, t.Server)
-		if t.State == woodpick.Gone {
+		if t.State == balancer.Gone {
 			delete(l.listed, t.ID)
 		} else {
 			l.listed[t.ID] = t
@@ -402,7 +402,7 @@
 func (l *loop) tellReady() {
 	ready := false
 	for _, t := range l.listed {
-		ready = ready || t.State == woodpick.Ready
+		ready = ready || t.State == balancer.Ready
 	}
 	l.ready.Store(ready)
 }
@@ -410,7 +410,7 @@
 // holds says that a list tells nothing new.
 func (l *loop) holds(news list) bool {
 	for _, t := range news.targets {
-		if held, ok := l.listed[t.ID]; ok && held != t || !ok && t.State != woodpick.Gone {
+		if held, ok := l.listed[t.ID]; ok && held != t || !ok && t.State != balancer.Gone {
 			return false
 		}
 	}
@@ -418,23 +418,23 @@
 }
 
 // handle feeds the module and carries out what it decides.
-func (l *loop) handle(at time.Duration, e woodpick.Event) {
+func (l *loop) handle(at time.Duration, e balancer.Event) {
 	l.now = max(l.now, at)
 	for _, a := range l.balancer.Handle(l.now, e) {
 		switch a := a.(type) {
-		case woodpick.Send:
+		case balancer.Send:
 			l.send(a)
-		case woodpick.Cancel:
+		case balancer.Cancel:
 			if p := l.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
 				l.cancel(p, p.attempts[a.Attempt])
 			}
-		case woodpick.Refuse:
+		case balancer.Refuse:
 			l.finish(a.ID, answer{kind: refused, retryAfter: a.RetryAfter})
-		case woodpick.Fail:
+		case balancer.Fail:
 			l.finish(a.ID, answer{kind: failed})
-		case woodpick.Wake:
+		case balancer.Wake:
 			heap.Push(&l.alarms, alarm{a.At, a.Token})
-		case woodpick.Subscribe:
+		case balancer.Subscribe:
 			l.subscribe()
 		}
 	}
@@ -447,7 +447,7 @@
 	}
 }
 
-func (l *loop) send(s woodpick.Send) {
+func (l *loop) send(s balancer.Send) {
 	p := l.pending[s.ID]
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{ctx: ctx, cancel: cancel, call: p.call, n: len(p.attempts),
@@ -489,9 +489,9 @@
 	}
 	e := s.Endings
 	l.log.With(l.sockets()...).Info("traffic", "requests", s.Requests, "served", s.Served, "refused", s.Refused,
-		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[woodpick.Success],
-		"failure", e[woodpick.Failure], "overloaded", e[woodpick.Overloaded],
-		"timed_out", e[woodpick.TimedOut], "unreachable", e[woodpick.Unreachable],
-		"broken", e[woodpick.Broken], "withdrawn", e[woodpick.Withdrawn], "void", e[woodpick.Void],
+		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[balancer.Success],
+		"failure", e[balancer.Failure], "overloaded", e[balancer.Overloaded],
+		"timed_out", e[balancer.TimedOut], "unreachable", e[balancer.Unreachable],
+		"broken", e[balancer.Broken], "withdrawn", e[balancer.Withdrawn], "void", e[balancer.Void],
 		"pending", len(l.pending), "lag_max", s.LagMax, "lag_mean", s.LagSum/time.Duration(s.Events))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // How a node ends, as the protocol has it: new connections come for up to 400 ms more, and it is killed no
@@ -78,7 +78,7 @@
 
 // moduleSettings are the settings as the module is told them. Its waits between calls for the list are parts of
 // AskWithin; no call may wait past the time when a change counts as told whether heard or not.
-func moduleSettings(cfg Config) woodpick.Settings {
+func moduleSettings(cfg Config) balancer.Settings {
 	set := cfg.Settings
 	set.AskWithin = min(set.AskWithin, toldLatest)
 	return set
@@ -87,7 +87,7 @@
 // New puts a node together and begins to listen. Nothing is served before Run.
 func New(cfg Config, log *slog.Logger) (*Node, error) {
 	set := moduleSettings(cfg)
-	balancer, err := woodpick.New(set, cfg.Seed)
+	balancer, err := balancer.New(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
@@ -181,7 +181,7 @@
 			names = append(names, name)
 		}
 	}
-	classes := map[string]woodpick.Class{}
+	classes := map[string]balancer.Class{}
 	for _, c := range old.Settings.Classes {
 		classes[c.Name] = c
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // limit is how long a test waits for what must come; only a failing one waits so long.
@@ -194,17 +194,17 @@
 
 // testConfig is a deployment with a class of each kind and long limits.
 func testConfig(known string) Config {
-	class := func(name string, e woodpick.Effect) woodpick.Class {
-		return woodpick.Class{Name: name, Effect: e, Scope: woodpick.ScopeAll, Window: limit,
+	class := func(name string, e balancer.Effect) balancer.Class {
+		return balancer.Class{Name: name, Effect: e, Scope: balancer.ScopeAll, Window: limit,
 			Aim: limit, Deadline: 2 * limit, Worth: 1}
 	}
 	return Config{Name: "n", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: 1, MemoryMB: 192,
 		Sockets: 1024, ConnIdle: time.Minute, ConnectTimeout: limit,
 		Known: []byte(strings.Replace(known, "%d", "1", 1)),
-		Settings: woodpick.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
+		Settings: balancer.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
 			Tick: time.Millisecond, MaxRetryAfter: 2 * time.Second, ColdFrom: 1, WholeWeight: 1,
-			Classes: []woodpick.Class{class("view", woodpick.Safe), class("note", woodpick.Unsafe),
-				class("keyed", woodpick.Keyed)}}}
+			Classes: []balancer.Class{class("view", balancer.Safe), class("note", balancer.Unsafe),
+				class("keyed", balancer.Keyed)}}}
 }
 
 // startNode runs a node until the test ends, or until the returned function is called.
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // reload puts a configuration in force and waits until it is.
@@ -23,7 +23,7 @@
 }
 
 // with is a configuration with other classes.
-func with(cfg Config, change func(classes []woodpick.Class) []woodpick.Class) Config {
+func with(cfg Config, change func(classes []balancer.Class) []balancer.Class) Config {
 	cfg.Settings.Classes = change(slices.Clone(cfg.Settings.Classes))
 	return cfg
 }
@@ -51,24 +51,24 @@
 // New settings are in force for what comes after them, and what was taken before keeps its promise: an attempt
 // that is reset is made again only where the class that its client knew permits it.
 func TestNewSettingsTakeForceBesideRequestsThatKeepTheirs(t *testing.T) {
-	view := func(change func(c *woodpick.Class)) func([]woodpick.Class) []woodpick.Class {
-		return func(l []woodpick.Class) []woodpick.Class { change(&l[0]); return l }
+	view := func(change func(c *balancer.Class)) func([]balancer.Class) []balancer.Class {
+		return func(l []balancer.Class) []balancer.Class { change(&l[0]); return l }
 	}
 	for name, row := range map[string]struct {
-		change  func([]woodpick.Class) []woodpick.Class
+		change  func([]balancer.Class) []balancer.Class
 		method  string // of the request before, to the class view or note
 		again   bool   // it is sent again after a reset, and served
 		status  int    // of the same request after
 		servers int    // that it gets to, then
 	}{
-		"a class goes": {func(l []woodpick.Class) []woodpick.Class { return l[1:] }, "GET", true, 404, 0},
-		"a class becomes unsafe": {view(func(c *woodpick.Class) { c.Effect = woodpick.Unsafe }),
+		"a class goes": {func(l []balancer.Class) []balancer.Class { return l[1:] }, "GET", true, 404, 0},
+		"a class becomes unsafe": {view(func(c *balancer.Class) { c.Effect = balancer.Unsafe }),
 			"GET", true, 405, 0},
-		"a class becomes keyed": {view(func(c *woodpick.Class) { c.Effect = woodpick.Keyed }), "GET", true, 405, 0},
-		"an unsafe class becomes safe": {func(l []woodpick.Class) []woodpick.Class { l[1].Effect = woodpick.Safe; return l },
+		"a class becomes keyed": {view(func(c *balancer.Class) { c.Effect = balancer.Keyed }), "GET", true, 405, 0},
+		"an unsafe class becomes safe": {func(l []balancer.Class) []balancer.Class { l[1].Effect = balancer.Safe; return l },
 			"POST", false, 405, 0},
-		"a deadline shrinks": {view(func(c *woodpick.Class) { c.Deadline = 20 * time.Second }), "GET", true, 400, 0},
-		"an aim changes":     {view(func(c *woodpick.Class) { c.Aim = time.Second }), "GET", true, 200, 1},
+		"a deadline shrinks": {view(func(c *balancer.Class) { c.Deadline = 20 * time.Second }), "GET", true, 400, 0},
+		"an aim changes":     {view(func(c *balancer.Class) { c.Aim = time.Second }), "GET", true, 200, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -122,8 +122,8 @@
 	s := newServer(t, echo)
 	cfg := testConfig(whole(entry("s1", s.addr(), "in_service")))
 	n, _ := startNode(t, cfg, nil)
-	more := with(cfg, func(l []woodpick.Class) []woodpick.Class {
-		return append(l, woodpick.Class{Name: "extra", Effect: woodpick.Safe, Aim: limit, Deadline: 2 * limit})
+	more := with(cfg, func(l []balancer.Class) []balancer.Class {
+		return append(l, balancer.Class{Name: "extra", Effect: balancer.Safe, Aim: limit, Deadline: 2 * limit})
 	})
 	for range 3 {
 		c := dial(t, n)
@@ -142,13 +142,13 @@
 // one, and one that is keyed by now would be repeated without its key.
 func TestRequestsCheckedBeforeNewSettingsAreCheckedAgain(t *testing.T) {
 	for name, row := range map[string]struct {
-		change func([]woodpick.Class) []woodpick.Class
+		change func([]balancer.Class) []balancer.Class
 		status int
 	}{
-		"gone":   {func(l []woodpick.Class) []woodpick.Class { return l[:1] }, 404},
-		"keyed":  {func(l []woodpick.Class) []woodpick.Class { l[1].Effect = woodpick.Keyed; return l }, 400},
-		"safe":   {func(l []woodpick.Class) []woodpick.Class { l[1].Effect = woodpick.Safe; return l }, 405},
-		"longer": {func(l []woodpick.Class) []woodpick.Class { l[1].Deadline *= 2; return l }, 200},
+		"gone":   {func(l []balancer.Class) []balancer.Class { return l[:1] }, 404},
+		"keyed":  {func(l []balancer.Class) []balancer.Class { l[1].Effect = balancer.Keyed; return l }, 400},
+		"safe":   {func(l []balancer.Class) []balancer.Class { l[1].Effect = balancer.Safe; return l }, 405},
+		"longer": {func(l []balancer.Class) []balancer.Class { l[1].Deadline *= 2; return l }, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -199,9 +199,9 @@
 
 func TestChangesNamesWhatDiffers(t *testing.T) {
 	cfg := testConfig(whole())
-	other := with(cfg, func(l []woodpick.Class) []woodpick.Class {
+	other := with(cfg, func(l []balancer.Class) []balancer.Class {
 		l[0].Aim++
-		return append(l[:2], woodpick.Class{Name: "extra"})
+		return append(l[:2], balancer.Class{Name: "extra"})
 	})
 	other.Settings.MaxAttempts++
 	other.Discovery = "127.0.0.1:2"
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // Kind tells what a Message carries.
@@ -34,8 +34,8 @@
 	Instance int
 	Now      time.Duration
 	Seed     uint64
-	Settings woodpick.Settings
-	Event    woodpick.Event
+	Settings balancer.Settings
+	Event    balancer.Event
 }
 
 // Decoder reads messages one at a time.
@@ -44,7 +44,7 @@
 	line     int
 	inBatch  bool
 	instance int
-	lists    [16][]woodpick.Server
+	lists    [16][]balancer.Server
 }
 
 // NewDecoder returns a Decoder that reads r.
@@ -142,27 +142,27 @@
 				f.fail(1, "is no list number")
 				break
 			}
-			m.Event = woodpick.ServerList{Full: mode != 0, Cached: mode == 2, Servers: d.lists[n]}
+			m.Event = balancer.ServerList{Full: mode != 0, Cached: mode == 2, Servers: d.lists[n]}
 		case 3:
-			m.Event = woodpick.ListFailed{}
+			m.Event = balancer.ListFailed{}
 		default:
 			f.fail(0, "is no mode")
 		}
 	case "job_in":
-		r := woodpick.Request{ID: f.text(0), Deadline: f.ms(1), Class: f.text(3), Repeat: f.optNum(4)&2 != 0}
+		r := balancer.Request{ID: f.text(0), Deadline: f.ms(1), Class: f.text(3), Repeat: f.optNum(4)&2 != 0}
 		if f.optNum(4)&1 != 0 {
 			r.Effort = f.optMS(6)
 		}
 		m.Event = r
 	case "ring":
-		m.Event = woodpick.Timer{Token: f.text(0)}
+		m.Event = balancer.Timer{Token: f.text(0)}
 	case "outcome":
-		m.Event = woodpick.Outcome{ID: f.text(0), Server: f.text(1), Latency: f.ms(2),
+		m.Event = balancer.Outcome{ID: f.text(0), Server: f.text(1), Latency: f.ms(2),
 			Ended: f.text(3) == "1", Attempt: f.num(4), Ending: f.ending(5), Load: f.load(6)}
 	case "timed_out_client":
-		m.Event = woodpick.ClientGone{ID: f.text(0)}
+		m.Event = balancer.ClientGone{ID: f.text(0)}
 	case "flowing":
-		m.Event = woodpick.Started{ID: f.text(0), Attempt: f.num(3)}
+		m.Event = balancer.Started{ID: f.text(0), Attempt: f.num(3)}
 	case "crash_now":
 		m.Kind = Stop
 	case "checked", "mail":
@@ -181,7 +181,7 @@
 	if table < 0 || table >= len(d.lists) || n < 0 {
 		return fmt.Errorf("list number or length out of range")
 	}
-	var servers []woodpick.Server
+	var servers []balancer.Server
 	for i := 0; i < n; i++ {
 		s, err := d.readLine()
 		if err != nil {
@@ -192,14 +192,14 @@
 			return fmt.Errorf("want item %d of %d, got %s", i+1, n, quote(name))
 		}
 		g := &fields{name: name, parts: strings.Split(rest, "\t")}
-		sv := woodpick.Server{ID: g.text(0), Zone: g.text(1), Cell: g.num(3), Size: g.size(5), Boot: g.optMS(6)}
+		sv := balancer.Server{ID: g.text(0), Zone: g.text(1), Cell: g.num(3), Size: g.size(5), Boot: g.optMS(6)}
 		switch g.num(4) {
 		case 2:
-			sv.State = woodpick.Ready
+			sv.State = balancer.Ready
 		case 0:
-			sv.State = woodpick.Draining
+			sv.State = balancer.Draining
 		case 1:
-			sv.State = woodpick.Gone
+			sv.State = balancer.Gone
 		default:
 			g.fail(4, "is no state")
 		}
@@ -295,14 +295,14 @@
 	return f.ms(i)
 }
 
-var endings = map[string]woodpick.Ending{
-	"success": woodpick.Success, "failure": woodpick.Failure,
-	"overloaded": woodpick.Overloaded, "timed_out": woodpick.TimedOut,
-	"unreachable": woodpick.Unreachable, "broken": woodpick.Broken,
-	"withdrawn": woodpick.Withdrawn, "void": woodpick.Void,
+var endings = map[string]balancer.Ending{
+	"success": balancer.Success, "failure": balancer.Failure,
+	"overloaded": balancer.Overloaded, "timed_out": balancer.TimedOut,
+	"unreachable": balancer.Unreachable, "broken": balancer.Broken,
+	"withdrawn": balancer.Withdrawn, "void": balancer.Void,
 }
 
-func (f *fields) ending(i int) woodpick.Ending {
+func (f *fields) ending(i int) balancer.Ending {
 	e, ok := endings[f.text(i)]
 	if !ok {
 		f.fail(i, "is no ending")
@@ -311,12 +311,12 @@
 }
 
 // load reads name:value pairs; names it does not know are ignored.
-func (f *fields) load(i int) *woodpick.Load {
+func (f *fields) load(i int) *balancer.Load {
 	s := f.opt(i)
 	if s == "" {
 		return nil
 	}
-	l := &woodpick.Load{Busy: -1, Service: -1}
+	l := &balancer.Load{Busy: -1, Service: -1}
 	for _, pair := range strings.Split(s, ",") {
 		name, text, _ := strings.Cut(pair, ":")
 		v, err := strconv.ParseFloat(text, 64)
@@ -381,22 +381,22 @@
 	Tier float64 `json:"tier"`
 }
 
-var scopes = map[string]woodpick.Scope{
-	"all": woodpick.ScopeAll, "zone": woodpick.ScopeZone, "cell": woodpick.ScopeCell,
+var scopes = map[string]balancer.Scope{
+	"all": balancer.ScopeAll, "zone": balancer.ScopeZone, "cell": balancer.ScopeCell,
 }
 
-var effects = map[string]woodpick.Effect{
-	"read_like": woodpick.Safe, "idempotency_key": woodpick.Keyed,
+var effects = map[string]balancer.Effect{
+	"read_like": balancer.Safe, "idempotency_key": balancer.Keyed,
 }
 
 // ParseSettings reads the settings object. Keys it does not know are ignored, an effect it does
 // not know is Unsafe and a scope it does not know is the narrowest.
-func ParseSettings(text []byte) (woodpick.Settings, error) {
+func ParseSettings(text []byte) (balancer.Settings, error) {
 	var p profile
 	if err := json.Unmarshal(text, &p); err != nil {
-		return woodpick.Settings{}, fmt.Errorf("settings: %w", err)
+		return balancer.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	s := woodpick.Settings{
+	s := balancer.Settings{
 		Balancers: whole(p.Balancers), Index: whole(p.Index), Tier: whole(p.Tier), Zone: p.Zone, Zones: len(p.Zones),
 		WholeWeight: p.Blend.Whole, ClassWeight: p.Blend.WorstClass,
 		MaxAttempts:  whole(p.Limits.MaxAttempts),
@@ -409,7 +409,7 @@
 		s.MaxRetryAfter = fromMS(p.Limits.MaxRetryAfter)
 	}
 	for _, l := range p.Lanes {
-		s.Classes = append(s.Classes, woodpick.Class{Name: l.Name, Effect: effects[l.Effect],
+		s.Classes = append(s.Classes, balancer.Class{Name: l.Name, Effect: effects[l.Effect],
 			Scope: scopes[l.Scope], Window: fromMS(l.Window), Aim: fromMS(l.Target),
 			Deadline: fromMS(l.Deadline), LateShare: l.LateShare, Worth: l.Worth})
 	}
@@ -441,23 +441,23 @@
 }
 
 // Action adds one action of an instance to the reply.
-func (e *Encoder) Action(instance int, a woodpick.Action) {
+func (e *Encoder) Action(instance int, a balancer.Action) {
 	if instance != e.instance {
 		fmt.Fprintf(e.w, "instance\t%d\n", instance)
 		e.instance = instance
 	}
 	switch a := a.(type) {
-	case woodpick.Send:
+	case balancer.Send:
 		fmt.Fprintf(e.w, "forward\t%s\t%s\t%s\n", a.ID, a.Server, ms(a.Timeout))
-	case woodpick.Cancel:
+	case balancer.Cancel:
 		fmt.Fprintf(e.w, "retract\t%s\t%d\n", a.ID, a.Attempt)
-	case woodpick.Refuse:
+	case balancer.Refuse:
 		fmt.Fprintf(e.w, "turn_away\t%s\t%s\n", a.ID, ms(a.RetryAfter))
-	case woodpick.Fail:
+	case balancer.Fail:
 		fmt.Fprintf(e.w, "report_failure\t%s\n", a.ID)
-	case woodpick.Wake:
+	case balancer.Wake:
 		fmt.Fprintf(e.w, "remind\t%s\t%s\n", ms(a.At), a.Token)
-	case woodpick.Subscribe:
+	case balancer.Subscribe:
 		fmt.Fprint(e.w, "subscribe\t1\n")
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 const sample = "sync\t8412.25\nabout\t3\nlist\t0\t1\nitem\ts:1\tz\tk\t4\t2\t1.5\t6100.5\nannounce\t2\t0\t41\n" +
@@ -37,12 +37,12 @@
 	}
 	want := []Message{
 		{Kind: Sync, Instance: -1, Now: 8412250 * time.Microsecond},
-		{Kind: Event, Instance: 3, Event: woodpick.ServerList{Full: true, Cached: true,
-			Servers: []woodpick.Server{{ID: "s:1", Zone: "z", Cell: 4, Size: 1.5, Boot: 6100500 * time.Microsecond}}}},
-		{Kind: Event, Instance: 3, Event: woodpick.Request{ID: "id", Class: "get", Repeat: true,
+		{Kind: Event, Instance: 3, Event: balancer.ServerList{Full: true, Cached: true,
+			Servers: []balancer.Server{{ID: "s:1", Zone: "z", Cell: 4, Size: 1.5, Boot: 6100500 * time.Microsecond}}}},
+		{Kind: Event, Instance: 3, Event: balancer.Request{ID: "id", Class: "get", Repeat: true,
 			Deadline: 8652250 * time.Microsecond, Effort: 12 * time.Millisecond}},
-		{Kind: Event, Instance: 3, Event: woodpick.Outcome{ID: "id", Server: "s:1", Ended: true,
-			Latency: 18500 * time.Microsecond, Load: &woodpick.Load{Busy: 3, Service: -1}}},
+		{Kind: Event, Instance: 3, Event: balancer.Outcome{ID: "id", Server: "s:1", Ended: true,
+			Latency: 18500 * time.Microsecond, Load: &balancer.Load{Busy: 3, Service: -1}}},
 		{Kind: End, Instance: 3},
 	}
 	if !reflect.DeepEqual(l, want) {
@@ -72,7 +72,7 @@
 func TestUnknownEffectIsUnsafe(t *testing.T) {
 	s, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1,
 		"zone":"east","localities":["north","east"]}`))
-	if err != nil || s.Zone != "east" || s.Zones != 2 || s.Classes[0].Effect != woodpick.Unsafe || s.Classes[1].Effect != woodpick.Safe {
+	if err != nil || s.Zone != "east" || s.Zones != 2 || s.Classes[0].Effect != balancer.Unsafe || s.Classes[1].Effect != balancer.Safe {
 		t.Fatalf("got %+v, %v", s, err)
 	}
 }
@@ -80,9 +80,9 @@
 func TestEncode(t *testing.T) {
 	var out bytes.Buffer
 	e := NewEncoder(&out)
-	e.Action(3, woodpick.Send{ID: "a", Server: "s", Timeout: 80500 * time.Microsecond})
-	e.Action(3, woodpick.Cancel{ID: "a", Attempt: 1})
-	e.Action(5, woodpick.Refuse{ID: "b"})
+	e.Action(3, balancer.Send{ID: "a", Server: "s", Timeout: 80500 * time.Microsecond})
+	e.Action(3, balancer.Cancel{ID: "a", Attempt: 1})
+	e.Action(5, balancer.Refuse{ID: "b"})
 	if err := e.Flush(); err != nil {
 		t.Fatal(err)
 	}
--- a/policy.go
+++ b/policy.go
@@ -1,10 +1,10 @@
-// Every decision of woodpick but admission (admission.go), slow start (slowstart.go) and what follows from
-// new settings (reconfigure.go). The interface (settings, events, actions) is in woodpick.go.
+// Every decision of balancer but admission (admission.go), slow start (slowstart.go) and what follows from
+// new settings (reconfigure.go). The interface (settings, events, actions) is in balancer.go.
 //
 // Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
 // further attempts, answers.
 
-package woodpick
+package balancer
 
 import (
 	"cmp"
--- a/reconfigure.go
+++ b/reconfigure.go
@@ -1,6 +1,6 @@
 // What follows from new settings: which promises stay, and what learned under the old ones holds on.
 
-package woodpick
+package balancer
 
 import (
 	"cmp"
--- a/recovery_test.go
+++ b/recovery_test.go
@@ -1,4 +1,4 @@
-package woodpick
+package balancer
 
 import (
 	"container/heap"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"woodpick/internal/servermodel"
+	"balancer/internal/servermodel"
 )
 
 // outage is a fleet of first-tier nodes in simulated time. Its servers get into trouble, a part of them is
--- a/simulation_test.go
+++ b/simulation_test.go
@@ -1,4 +1,4 @@
-package woodpick
+package balancer
 
 import "time"
 
--- a/slowstart.go
+++ b/slowstart.go
@@ -1,7 +1,7 @@
 // Slow start: what a server that has just started may be sent while it is cold. All copies together must
 // not push it over, and none of them sees what the others send.
 
-package woodpick
+package balancer
 
 import (
 	"math"
