--- a/admission.go
+++ b/admission.go
@@ -13,14 +13,14 @@
 	if r.repeat {
 		calls *= 2
 	}
-	return len(b.ready) == 0 || b.set.Tier == 0 && calls >= b.window*b.standing(r)
+	return len(b.ready) == 0 || b.set.Tier == 0 && calls >= b.window*b.windowShare(r)
 }
 
-// standing is the part of the window that a request may fill, by its value against the others': the more
+// windowShare is the part of the window that a request may fill, by its value against the others': the more
 // is shed, the more room is kept for what is worth most. A hold alone is too short to wait for that, for
 // at a node of few calls seldom two requests wait at once. No class loses more than half of the window,
 // so that none starves.
-func (b *Balancer) standing(r *request) float64 {
+func (b *Balancer) windowShare(r *request) float64 {
 	var sum, n float64
 	for _, c := range b.order {
 		sum += c.arrive * b.value(&request{class: c})
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -42,7 +42,7 @@
 	before         time.Duration // it must not begin later: the servers discard its repeats no longer; 0: no such time
 	begun          bool          // a byte of it may have been written. Guarded by call.mu
 	ended          bool          // and its result is passed on
-	spared         bool          // it goes on until its caller is known to be gone
+	kept           bool          // it goes on until its caller is known to be gone
 }
 
 // host is one life of a server at one address. A server that starts anew, or another at an address that
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -105,22 +105,22 @@
 	serving  bool      // a request's head is read, and it is not answered
 	ahead    []byte    // what came meanwhile, to be read once that is answered
 	kept     int       // bytes reserved for ahead
-	parted   parting
+	departed departure
 	looked   chan struct{} // closed once the watch beside the request has read all that had come
-	turned   chan struct{} // gets one when parted changes
+	turned   chan struct{} // gets one when departed changes
 
 	callers  *callers
 	activity // guarded by callers.mu
 }
 
-// parting is what is known of a caller's leaving while its request waits. The greater holds.
-type parting int
+// departure is what is known of a caller's leaving while its request waits. The greater holds.
+type departure int
 
 const (
-	present    parting = iota
-	unwatched          // too much is sent ahead to be kept, so its leaving can't be seen
-	halfClosed         // it sends no more; whether it still reads is not known
-	gone               // it has reset its connection
+	present    departure = iota
+	unwatched            // too much is sent ahead to be kept, so its leaving can't be seen
+	halfClosed           // it sends no more; whether it still reads is not known
+	gone                 // it has reset its connection
 )
 
 // aheadStep is the least that is kept of what a caller sends ahead, in bytes.
@@ -180,7 +180,7 @@
 		}
 		into := c.spare()
 		if into == nil {
-			c.part(unwatched)
+			c.depart(unwatched)
 			return errUnwatched
 		}
 		n, err := c.Conn.Read(into)
@@ -227,7 +227,7 @@
 		return err != nil
 	})
 	if err == nil {
-		c.part(gone)
+		c.depart(gone)
 		err = cause
 	}
 	return err
@@ -246,12 +246,12 @@
 
 // settle waits until the watch beside the request has read all that had come, and tells what is known of
 // the caller's leaving then.
-func (c *callerConn) settle() parting {
+func (c *callerConn) settle() departure {
 	c.mu.Lock()
 	looked := c.looked
 	c.mu.Unlock()
 	<-looked
-	return c.parting()
+	return c.departure()
 }
 
 // serve notes that a request's head is read.
@@ -262,8 +262,8 @@
 	if c.turned == nil {
 		c.turned = make(chan struct{}, 1)
 	}
-	if c.parted == unwatched { // there may be room again
-		c.parted = present
+	if c.departed == unwatched { // there may be room again
+		c.departed = present
 	}
 }
 
@@ -276,30 +276,30 @@
 		c.hear()
 		c.mu.Unlock()
 	case errors.Is(err, io.EOF):
-		c.part(halfClosed)
+		c.depart(halfClosed)
 	case err != nil && !(errors.As(err, &late) && late.Timeout()):
-		c.part(gone)
+		c.depart(gone)
 	}
 }
 
-// part notes that the caller may leave, or has left.
-func (c *callerConn) part(how parting) {
+// depart notes that the caller may leave, or has left.
+func (c *callerConn) depart(how departure) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if how <= c.parted {
+	if how <= c.departed {
 		return
 	}
-	c.parted = how
+	c.departed = how
 	select {
 	case c.turned <- struct{}{}:
 	default:
 	}
 }
 
-func (c *callerConn) parting() parting {
+func (c *callerConn) departure() departure {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.parted
+	return c.departed
 }
 
 // spare is room for more that is sent ahead, or nil at the bound of this connection's or of all.
@@ -358,7 +358,7 @@
 func (c *callerConn) interim() {
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n"); err != nil {
-		c.part(gone)
+		c.depart(gone)
 	}
 }
 
@@ -539,7 +539,7 @@
 // over is by how many there are too many. The caller holds mu.
 func (s *callers) over() int { return len(s.conns) - s.leaving - s.most() }
 
-func (s *callers) crowded() bool {
+func (s *callers) overLimit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.over() > 0
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,27 +20,27 @@
 
 // Times of a watch. The worst that they make of a call that was lost comes to less than toldLatest: from the
 // moment when discovery falls silent, the call is given up on after hold and grace; a dial and a head that
-// never come cost soundWait and soundAgain once more where lists are pushed; where they are asked for, at
-// most soundAgain or a quarter of ask-within-ms (6 s at the most) goes by before the next call, whichever
+// never come cost probeWait and probeInterval once more where lists are pushed; where they are asked for, at
+// most probeInterval or a quarter of ask-within-ms (6 s at the most) goes by before the next call, whichever
 // is longer. TestLostCallIsMadeUpForInTime adds them up.
 //
 // An agent that is silent answers nothing, not even once it is back, so a call is given
 // up on a little after its hold is over. Where lists are pushed, what the agent gets at discovery's return
 // counts as told at once, and servers that drain must be left alone 250 ms later: the hold is shorter than
 // an outage, so that one is noticed before it is over, and from then on the agent, which is local and
-// answers at no cost, is sounded several times within those 250 ms.
+// answers at no cost, is probed several times within those 250 ms.
 const (
-	pushHold   = time.Second
-	pushGrace  = 250 * time.Millisecond
-	askHold    = 2 * time.Second // discovery itself bears these calls
-	askGrace   = 500 * time.Millisecond
-	soundWait  = 150 * time.Millisecond // for the head of an answer that needs no hold
-	soundAgain = 100 * time.Millisecond // from a failure that came at once to the next call
-	firstWait  = time.Second            // that a new process waits for the list before it counts as ready
-	toldLatest = 6 * time.Second        // after which a change counts as told, heard or not
-	maxList    = 4 << 20
+	pushHold      = time.Second
+	pushGrace     = 250 * time.Millisecond
+	askHold       = 2 * time.Second // discovery itself bears these calls
+	askGrace      = 500 * time.Millisecond
+	probeWait     = 150 * time.Millisecond // for the head of an answer that needs no hold
+	probeInterval = 100 * time.Millisecond // from a failure that came at once to the next call
+	firstWait     = time.Second            // that a new process waits for the list before it counts as ready
+	toldLatest    = 6 * time.Second        // after which a change counts as told, heard or not
+	maxList       = 4 << 20
 	// A connection that never comes up holds its place among those to the agent until its dial is given up.
-	agentDial  = 2 * soundWait
+	agentDial  = 2 * probeWait
 	agentConns = 8
 )
 
@@ -184,7 +184,7 @@
 // push watches from the start until ctx ends. The next call follows each answer at once: a watch is lost
 // when it is late.
 func (d *discovery) push(ctx context.Context) {
-	late := time.AfterFunc(d.first, func() { d.post(listLate{}) })
+	late := time.AfterFunc(d.first, func() { d.post(discoverySilent{}) })
 	defer late.Stop()
 	doubt := true // whether the agent answers at all
 	var at *place
@@ -206,18 +206,18 @@
 		select {
 		case <-ctx.Done():
 		case <-p.ctx.Done():
-		case <-d.after(soundAgain):
+		case <-d.after(probeInterval):
 		}
 	}
 }
 
-// sound asks the agent for what needs no hold until it answers, or ctx ends. It begins a while after the
+// probe asks the agent for what needs no hold until it answers, or ctx ends. It begins a while after the
 // call beside it, which a sound agent answers first.
-func (d *discovery) sound(ctx context.Context, p *place, from int64) bool {
-	sleep(ctx, soundWait)
+func (d *discovery) probe(ctx context.Context, p *place, from int64) bool {
+	sleep(ctx, probeWait)
 	for ctx.Err() == nil {
-		again := time.After(soundAgain)
-		one, cancel := context.WithTimeout(ctx, soundWait)
+		again := time.After(probeInterval)
+		one, cancel := context.WithTimeout(ctx, probeWait)
 		resp, err := d.call(one, p, from, time.Millisecond)
 		cancel()
 		if err == nil {
@@ -234,7 +234,7 @@
 
 // ask serves Subscribes until ctx ends: a watch that goes on until it fails, which is reported once. What the
 // module waits for then is a part of ask-within-ms, which may be next to nothing, and a refused call ends at
-// once: so that no two follow each other at once, the next one waits for soundAgain, or until the watch moves.
+// once: so that no two follow each other at once, the next one waits for probeInterval, or until the watch moves.
 func (d *discovery) ask(ctx context.Context) {
 	for {
 		select {
@@ -252,7 +252,7 @@
 				select {
 				case <-ctx.Done():
 				case <-p.ctx.Done():
-				case <-d.after(soundAgain):
+				case <-d.after(probeInterval):
 				}
 				break
 			}
@@ -260,22 +260,22 @@
 	}
 }
 
-// watch makes one call and posts what it tells. In doubt, the agent is sounded beside it: once it answers
+// watch makes one call and posts what it tells. In doubt, the agent is probed beside it: once it answers
 // that, the call is known to be lost and is dropped, and answers is set.
 func (d *discovery) watch(ctx context.Context, p *place, doubt bool) (answers bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, d.hold+d.grace)
 	defer cancel()
 	defer context.AfterFunc(p.ctx, cancel)()
 	if doubt {
-		sounded, from := make(chan bool, 1), p.rev
+		probed, from := make(chan bool, 1), p.rev
 		go func() {
-			ok := d.sound(ctx, p, from)
-			sounded <- ok
+			ok := d.probe(ctx, p, from)
+			probed <- ok
 			if ok {
 				cancel()
 			}
 		}()
-		defer func() { cancel(); answers = <-sounded }()
+		defer func() { cancel(); answers = <-probed }()
 	}
 	return false, d.take(ctx, p)
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -206,8 +206,8 @@
 			n.discovery.subscribe()
 			for range 5 {
 				wait(t, dials, "a call")
-				if d := wait(t, waits, "the wait"); d != soundAgain {
-					t.Errorf("waits for %v, want %v", d, soundAgain)
+				if d := wait(t, waits, "the wait"); d != probeInterval {
+					t.Errorf("waits for %v, want %v", d, probeInterval)
 				}
 				n.discovery.subscribe()
 				until(t, "the failure to be taken", func() bool { return len(n.loop.events) == 0 })
@@ -239,7 +239,7 @@
 					t.Fatal(err)
 				}
 				n.listener.Close()
-				d, again := n.discovery, soundAgain
+				d, again := n.discovery, probeInterval
 				if asked {
 					for range failures {
 						n.loop.take(listFailed{})
@@ -251,7 +251,7 @@
 					}
 				}
 				// The call that is lost, the wait, a dial that never comes up and its wait, and the next call.
-				worst := d.hold + d.grace + again + agentDial + again + soundWait
+				worst := d.hold + d.grace + again + agentDial + again + probeWait
 				if worst >= toldLatest {
 					t.Errorf("asked %v, ask-within %v, after %d failures: %v", asked, within, failures, worst)
 				}
--- a/internal/node/edge_test.go
+++ b/internal/node/edge_test.go
@@ -63,7 +63,7 @@
 		{"left out of a whole list", func(b *backend, a *attempt) { b.servers(nil, true) }, balancer.Void},
 		{"started anew", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.Boot = time.Hour }) }, balancer.Void},
 		{"moved", func(b *backend, a *attempt) { now(b, a.to, func(e *target) { e.endpoint = "127.0.0.1:2" }) }, balancer.Void},
-		{"its caller left", func(b *backend, a *attempt) { a.call.part() }, balancer.Void},
+		{"its caller left", func(b *backend, a *attempt) { a.call.depart() }, balancer.Void},
 		{"called off", func(b *backend, a *attempt) { a.cancel() }, balancer.Withdrawn},
 		{"repeats are discarded no longer", func(b *backend, a *attempt) { a.before = b.clock.now() }, balancer.Void},
 	} {
@@ -100,7 +100,7 @@
 	end := make(chan result, 1)
 	go func() { end <- b.run(a) }()
 	wait(t, held.up, "the connection")
-	a.call.part()
+	a.call.depart()
 	close(held.through)
 	wait(t, end, "the attempt's end")
 	if r := run(t, b, testAttempt(b, s.addr())); r.ending != balancer.Success || s.opened() != 1 || s.seen() != 1 {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -146,7 +146,7 @@
 }
 
 // await waits for the answer to a call, or for its caller to be gone: then nobody reads one. The mark on
-// the call is there before the loop hears of a parting, for a connection to a server may come up just then.
+// the call is there before the loop hears of a departure, for a connection to a server may come up just then.
 func (f *frontend) await(conn *callerConn, c *call, interims bool) (a answer, reads bool) {
 	for told := present; ; {
 		select {
@@ -154,12 +154,12 @@
 			return a, true
 		case <-conn.turned:
 		}
-		how := conn.parting()
+		how := conn.departure()
 		if how <= told {
 			continue
 		}
 		told = how
-		begun := c.part()
+		begun := c.depart()
 		f.post(callerGone{call: c, how: how, at: f.clock.now(), advice: f.rules.Load().advice})
 		switch {
 		case how == gone:
@@ -267,7 +267,7 @@
 func (f *frontend) write(w http.ResponseWriter, a answer) {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	if f.callers.crowded() || f.closing.Load() {
+	if f.callers.overLimit() || f.closing.Load() {
 		h.Set("Connection", "close")
 	}
 	switch a.kind {
--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -60,7 +60,7 @@
 	h.discovery = newDiscovery(cfg, -1, h.post, log)
 	h.loop.subscribe = h.discovery.subscribe
 	if h.loop.known = (list{full: true}); !h.push {
-		h.loop.takeKnown() // the module asks for more
+		h.loop.useCachedList() // the module asks for more
 	}
 	return h, nil
 }
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -383,7 +383,7 @@
 						n.frontend.callers.mu.Lock()
 						defer n.frontend.callers.mu.Unlock()
 						for nc := range n.frontend.callers.conns {
-							return nc.parting() == halfClosed
+							return nc.departure() == halfClosed
 						}
 						return false
 					})
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -37,27 +37,27 @@
 	revision                       int           // of the rules that it was checked against
 	answer                         chan answer   // takes one answer without blocking
 
-	mu     sync.Mutex
-	parted bool // its caller has left, or may have: no attempt of it is to begin any more
-	begun  bool // one has begun
+	mu       sync.Mutex
+	departed bool // its caller has left, or may have: no attempt of it is to begin any more
+	begun    bool // one has begun
 }
 
-// begin notes that the first byte of an attempt is written next, unless its caller has parted.
+// begin notes that the first byte of an attempt is written next, unless its caller has departed.
 func (c *call) begin(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.parted {
+	if c.departed {
 		return false
 	}
 	a.begun, c.begun = true, true
 	return true
 }
 
-// part keeps further attempts from beginning, and tells whether one has begun.
-func (c *call) part() (begun bool) {
+// depart keeps further attempts from beginning, and tells whether one has begun.
+func (c *call) depart() (begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.parted = true
+	c.departed = true
 	return c.begun
 }
 
@@ -94,7 +94,7 @@
 	arrived    struct{ call *call }
 	callerGone struct {
 		call   *call
-		how    parting
+		how    departure
 		at     time.Duration
 		advice time.Duration // when to come back, for a refusal
 	}
@@ -102,10 +102,10 @@
 		attempt *attempt
 		result  result
 	}
-	listNews    struct{ list list }
-	listFailed  struct{}
-	listLate    struct{} // discovery says nothing: the list that the node last had must do
-	newSettings struct {
+	listNews        struct{ list list }
+	listFailed      struct{}
+	discoverySilent struct{} // discovery says nothing: the list that the node last had must do
+	newSettings     struct {
 		settings balancer.Settings
 		rules    *rules
 		inForce  func(at time.Duration)
@@ -119,7 +119,7 @@
 	attempts []*attempt
 	out      int
 	answered bool
-	parted   parting       // to the module its client has gone, unless this is present
+	departed departure     // to the module its client has gone, unless this is present
 	advice   time.Duration // for a refusal then
 	ran      bool          // an attempt that has ended may have run
 }
@@ -245,7 +245,7 @@
 	case callerGone:
 		l.lag(e.at)
 		if p := l.pending[e.call.id]; p != nil && p.call == e.call && !p.answered {
-			l.part(p, e)
+			l.depart(p, e)
 		}
 	case ended:
 		l.lag(e.result.at)
@@ -257,57 +257,57 @@
 	case lastCall:
 		l.handle(l.clock.now(), balancer.Closing{})
 		for _, p := range l.pending { // to the module these are answered
-			if p.parted != present && !p.answered {
-				l.conclude(p)
+			if p.departed != present && !p.answered {
+				l.answerDeparted(p)
 			}
 		}
 	case listNews:
 		if !e.list.full {
-			l.takeKnown()
+			l.useCachedList()
 		}
 		l.takeList(e.list, false)
 	case listFailed:
 		l.handle(l.clock.now(), balancer.ListFailed{})
-	case listLate:
-		l.takeKnown()
+	case discoverySilent:
+		l.useCachedList()
 	}
 }
 
-// part has no further attempt made for a caller that has left, or whose leaving can't be seen: to the
+// depart has no further attempt made for a caller that has left, or whose leaving can't be seen: to the
 // module its client has gone. One that has only stopped sending gets the answer of an attempt that has
 // begun, which goes on unless the caller is known to be gone.
-func (l *loop) part(p *pending, e callerGone) {
-	first := p.parted == present
-	p.parted, p.advice = e.how, e.advice
+func (l *loop) depart(p *pending, e callerGone) {
+	first := p.departed == present
+	p.departed, p.advice = e.how, e.advice
 	if first {
 		l.stats.Gone++
 		l.handle(e.at, balancer.ClientGone{ID: e.call.id})
 	}
 	if e.how == gone {
 		p.answered = true // nobody reads one
-		l.cancelSpared(p)
+		l.cancelKept(p)
 		l.forget(p)
 		return
 	}
-	l.concludeUnlessBegun(p)
+	l.answerUnlessBegun(p)
 }
 
-// concludeUnlessBegun answers a parted caller unless an attempt may still bring an answer that it reads.
-func (l *loop) concludeUnlessBegun(p *pending) {
+// answerUnlessBegun answers a departed caller unless an attempt may still bring an answer that it reads.
+func (l *loop) answerUnlessBegun(p *pending) {
 	if p.answered {
 		return
 	}
 	for _, a := range p.attempts {
-		if p.parted == halfClosed && !a.ended && a.hasBegun() {
+		if p.departed == halfClosed && !a.ended && a.hasBegun() {
 			return
 		}
 	}
-	l.conclude(p)
+	l.answerDeparted(p)
 }
 
-// conclude gives a parted caller the final answer that the module leaves out: a refusal unless an attempt
+// answerDeparted gives a departed caller the final answer that the module leaves out: a refusal unless an attempt
 // may have run.
-func (l *loop) conclude(p *pending) {
+func (l *loop) answerDeparted(p *pending) {
 	ran := p.ran
 	for _, a := range p.attempts {
 		ran = ran || !a.ended && a.hasBegun()
@@ -319,10 +319,10 @@
 	}
 }
 
-// cancelSpared calls off the attempts that went on for a caller that had only stopped sending.
-func (l *loop) cancelSpared(p *pending) {
+// cancelKept calls off the attempts that went on for a caller that had only stopped sending.
+func (l *loop) cancelKept(p *pending) {
 	for _, a := range p.attempts {
-		if a.spared {
+		if a.kept {
 			a.cancel()
 		}
 	}
@@ -345,8 +345,8 @@
 	}
 	l.handle(r.at, balancer.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
 		Latency: r.at - a.sent, Ended: p.answered})
-	if p.parted != present {
-		l.concludeUnlessBegun(p)
+	if p.departed != present {
+		l.answerUnlessBegun(p)
 	}
 	l.forget(p)
 }
@@ -354,7 +354,7 @@
 func (l *loop) answer(p *pending, a answer) {
 	p.answered = true
 	p.call.answer <- a
-	l.cancelSpared(p)
+	l.cancelKept(p)
 }
 
 // forget drops a call once nothing of it is left, as the module does.
@@ -364,10 +364,10 @@
 	}
 }
 
-// takeKnown begins with the list that the node last had, unless a newer one has been heard. What the agent
+// useCachedList begins with the list that the node last had, unless a newer one has been heard. What the agent
 // holds counts as told from a process's first moment: until it is known, or can't be had, no server may be
 // sent to by an old list, and what callers ask for is held.
-func (l *loop) takeKnown() {
+func (l *loop) useCachedList() {
 	if !l.heard {
 		l.takeList(l.known, true)
 	}
@@ -442,7 +442,7 @@
 
 // cancel calls an attempt off, or later if its caller may still read what it brings.
 func (l *loop) cancel(p *pending, a *attempt) {
-	if a.spared = p.parted == halfClosed && a.hasBegun(); !a.spared {
+	if a.kept = p.departed == halfClosed && a.hasBegun(); !a.kept {
 		a.cancel()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 	n.discovery = newDiscovery(cfg, rev, l.post, log)
 	l.subscribe = n.discovery.subscribe
 	if l.known = known; !n.push {
-		l.takeKnown() // the module asks for more
+		l.useCachedList() // the module asks for more
 	}
 	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -623,7 +623,7 @@
 		t.Fatal(err)
 	}
 	defer n.listener.Close()
-	n.loop.take(listLate{})
+	n.loop.take(discoverySilent{})
 	told := 0
 	n.loop.servers = func([]target, bool) { told++ }
 	for i, c := range []struct {
@@ -873,19 +873,19 @@
 	say(caller, a) // the next request's first byte
 	f.track(a, http.StateIdle)
 	f.track(b, http.StateNew) // one too many
-	if a.going || !f.crowded() {
+	if a.going || !f.overLimit() {
 		t.Fatal("a connection with a request on it was let go")
 	}
 	say(caller, a)
 	say(a, caller)
 	f.grace.idle = limit
 	f.track(a, http.StateIdle)
-	if a.going || !f.crowded() {
+	if a.going || !f.overLimit() {
 		t.Fatal("a connection idle for a moment only was let go")
 	}
 	f.grace.idle = 0
 	f.track(b, http.StateActive)
-	if !a.going || f.crowded() {
+	if !a.going || f.overLimit() {
 		t.Fatal("the idle connection was not let go")
 	}
 	a.SetReadDeadline(time.Time{}) // net/http does, after it has said that it is idle
--- a/policy.go
+++ b/policy.go
@@ -37,7 +37,7 @@
 	windowFloor = 5.0    // own calls a server that are always admitted
 	retryEarn   = 0.15   // further attempts earned by a success
 	unsentCost  = 0.1    // what a further attempt costs when the last one never ran
-	retryPurse  = 10     // most that can be saved up
+	retryBudget = 10     // most that can be saved up
 	targetShare = 0.75   // part of the mean, by ratio, of base latency and aim that is steered to
 	targetLeast = 1.35   // times the base latency that is steered to at least
 	baseRise    = 0.0005 // weight of a new sample in a class's base latency when it lies above
@@ -70,24 +70,24 @@
 	classes  map[string]*class
 	order    []*class // every class in the order of the settings, then the unknown one
 
-	errors    float64 // share of bad endings, overlong answers among them, of all attempts
-	lastOK    time.Duration
-	effort    float64 // hinted on average, in ns
-	hints     float64 // heard so far
-	tokens    float64 // retry budget
-	window    float64 // own calls admitted at once (first tier)
-	opening   bool    // the window grows quickly: nothing has told yet that servers are crowded
-	crowding  float64 // answers against their targets on average
-	inFlight  int
-	shed      float64       // share of requests answered without an attempt
-	closing   bool          // the host ends
-	warmBorne borne         // what warm servers bear
-	coldBorne borne         // and cold ones
-	pace      pace          // at which credit grows
-	interval  time.Duration // between requests on average
-	asked     time.Duration // when the last one came
-	subFails  int
-	subWanted time.Duration
+	errors       float64 // share of bad endings, overlong answers among them, of all attempts
+	lastOK       time.Duration
+	effort       float64 // hinted on average, in ns
+	hints        float64 // heard so far
+	tokens       float64 // retry budget
+	window       float64 // own calls admitted at once (first tier)
+	opening      bool    // the window grows quickly: nothing has told yet that servers are crowded
+	crowding     float64 // answers against their targets on average
+	inFlight     int
+	shed         float64          // share of requests answered without an attempt
+	closing      bool             // the host ends
+	warmCapacity capacityEstimate // of warm servers
+	coldCapacity capacityEstimate // and cold ones
+	creditGrowth creditGrowth     // at which credit grows
+	interval     time.Duration    // between requests on average
+	asked        time.Duration    // when the last one came
+	subFails     int
+	subWanted    time.Duration
 }
 
 // class is a class as the settings had it when its requests were taken, and what was learned of it, which
@@ -175,7 +175,7 @@
 	}
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
-		errors: 0.02, tokens: retryPurse / 2}
+		errors: 0.02, tokens: retryBudget / 2}
 	b.take(set)
 	return b, nil
 }
@@ -487,7 +487,7 @@
 	b.inFlight--
 	a.srv.calls--
 	// A hung server's waits tell nothing of how crowded the others are.
-	if !b.silent(a.srv) {
+	if !b.unresponsive(a.srv) {
 		b.steer(r, e)
 	}
 	a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
@@ -591,7 +591,7 @@
 	for _, s := range slices.Concat(b.pool.left, b.pool.right) {
 		s.pooled = true
 	}
-	b.pace.known = false
+	b.creditGrowth.known = false
 }
 
 // run lists a group's servers of the node's own zone, or the others, from the node's place on. The copies
@@ -613,9 +613,10 @@
 // warm enough and, as long as that leaves any, with room and not crowded with own calls. Only where
 // anyCold is set may all of them be cold, and may a first try go to an idle cold one whatever the
 // thinning: a pool may be cold as a whole, and would take a warm one's calls, while the rest is warm.
-func (b *Balancer) chooseFrom(g groups, r *request, anyCold, shun bool) *server {
-	b.ruleOut(g, r, shun)
-	for _, limit := range []func(*server) int{b.crowded, b.roomy, func(*server) int { return math.MaxInt }} {
+func (b *Balancer) chooseFrom(g groups, r *request, anyCold, ejectOutliers bool) *server {
+	b.ruleOut(g, r, ejectOutliers)
+	unlimited := func(*server) int { return math.MaxInt }
+	for _, limit := range []func(*server) int{b.concurrencyLimit, b.refusalLimit, unlimited} {
 		left, idleLeft := b.narrow(g.left, r, limit)
 		right, idleRight := b.narrow(g.right, r, limit)
 		isWarm := func(s *server) bool { return b.warmth(s) == 1 }
@@ -633,10 +634,10 @@
 // likelier its own or the tier below's, and those left would take all the load: only the worst are
 // kept out, up to a set share of the list, and fewer the more is shed: in overload every server is
 // missed, and time-outs show load rather than ill health.
-func (b *Balancer) ruleOut(g groups, r *request, shun bool) {
+func (b *Balancer) ruleOut(g groups, r *request, ejectOutliers bool) {
 	var sick []*server
 	for _, s := range slices.Concat(g.left, g.right) {
-		s.out = shun && b.shuns(s, r.class)
+		s.out = ejectOutliers && b.isOutlier(s, r.class)
 		if !s.out && b.unfit(s, r) {
 			s.out = true
 			sick = append(sick, s)
@@ -665,16 +666,16 @@
 	return warm, idle
 }
 
-// crowded is the count of own calls at which a server is passed over: uniform draws now and then
+// concurrencyLimit is the count of own calls at which a server is passed over: uniform draws now and then
 // meet the same few servers twice, and a crowd of several nodes' calls there chokes it.
-func (b *Balancer) crowded(s *server) int {
-	return min(b.roomy(s), 1+b.inFlight/max(1, b.width))
+func (b *Balancer) concurrencyLimit(s *server) int {
+	return min(b.refusalLimit(s), 1+b.inFlight/max(1, b.width))
 }
 
-// roomy is the count of own calls at which a server is passed over because it refused one more a
+// refusalLimit is the count of own calls at which a server is passed over because it refused one more a
 // while ago: its queue or its connections, which other copies hold idle, are full, and refusals
 // come at once and drain its count. It is not ill, so the cap on those ruled out does not apply.
-func (b *Balancer) roomy(s *server) int {
+func (b *Balancer) refusalLimit(s *server) int {
 	if b.now < s.full {
 		return s.room
 	}
@@ -701,7 +702,7 @@
 
 // unfit says that a server should not be drawn now for its health.
 func (b *Balancer) unfit(s *server, r *request) bool {
-	if b.now < s.until || b.silent(s) {
+	if b.now < s.until || b.unresponsive(s) {
 		return true
 	}
 	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
@@ -709,11 +710,11 @@
 	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
 }
 
-// shuns says, by a draw, that a server should not get a class now, by its share of good endings against all
-// servers'. One that fails at once, in part or one class only, drains its count and wins, and what it serves
-// ends each run of bad endings; one that lets most time out holds its part of the window. Where all fail
-// alike none is shunned: no cap is needed. It hurts where a few unlucky endings are all that is known.
-func (b *Balancer) shuns(s *server, c *class) bool {
+// isOutlier says, by a draw, that a server should not get a class now, by its share of good endings against
+// all servers'. One that fails at once, in part or one class only, drains its count and wins, and what it
+// serves ends each run of bad endings; one that lets most time out holds its part of the window. Where all
+// fail alike none is an outlier: no cap is needed. It hurts where a few unlucky endings are all that's known.
+func (b *Balancer) isOutlier(s *server, c *class) bool {
 	good := 1.0
 	for _, k := range []*class{c, b.classes[""]} { // that one stands for all together
 		good = min(good, (1-b.failing(s, k.learned, c))/(1-k.failing))
@@ -727,9 +728,9 @@
 	return f.share * math.Exp(-float64(b.now-f.at)/(failFade*c.mean))
 }
 
-// silent says that an old call to the server is unanswered while a younger one was answered
+// unresponsive says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
-func (b *Balancer) silent(s *server) bool {
+func (b *Balancer) unresponsive(s *server) bool {
 	if len(s.open) == 0 {
 		return false
 	}
@@ -752,7 +753,7 @@
 	}
 	switch e.Ending {
 	case Success:
-		b.tokens = min(retryPurse, b.tokens+retryEarn)
+		b.tokens = min(retryBudget, b.tokens+retryEarn)
 		b.lastOK, s.lastOK = b.now, b.now
 		// The first samples replace the guess, or who answers first would look fast against it.
 		c.samples++
@@ -765,7 +766,7 @@
 			c.base, late = c.mean, false
 		}
 		bad, s.refusals = late, 0
-		b.bear(s)
+		b.observeCapacity(s)
 	case Overloaded, Unreachable:
 		s.room = s.calls
 		s.full = b.now + time.Duration((0.5+b.rng.Float64())*ejection*c.mean)<<s.refusals
--- a/policy_test.go
+++ b/policy_test.go
@@ -754,11 +754,11 @@
 		c.arrive, c.serve = 10, 5
 	}
 	low, high := &request{class: b.classes["get"]}, &request{class: b.classes["pay"]}
-	if l, h := b.standing(low), b.standing(high); l != 1 || h != 1 {
+	if l, h := b.windowShare(low), b.windowShare(high); l != 1 || h != 1 {
 		t.Errorf("nothing shed: parts of the window %.2f and %.2f, want 1", l, h)
 	}
 	b.shed = 0.6
-	if l, h := b.standing(low), b.standing(high); l > 0.7 || l < 0.5 || h < 1.3 || h > 2 {
+	if l, h := b.windowShare(low), b.windowShare(high); l > 0.7 || l < 0.5 || h < 1.3 || h > 2 {
 		t.Errorf("much shed: parts of the window %.2f for low worth and %.2f for high", l, h)
 	}
 }
--- a/reconfigure.go
+++ b/reconfigure.go
@@ -36,7 +36,7 @@
 	old := b.set
 	set.AskDiscovery = old.AskDiscovery // the host subscribes, or not, for its life
 	b.take(set)
-	b.pace.known = false
+	b.creditGrowth.known = false
 	if set.Balancers != old.Balancers || set.Index != old.Index || set.Zone != old.Zone ||
 		set.Zones != old.Zones {
 		b.width = 0
--- a/slowstart.go
+++ b/slowstart.go
@@ -45,10 +45,10 @@
 	return b.rng.Float64() < w
 }
 
-// borne is what servers bear of this copy's calls: good answers a second for each unit of their warmth. Each
-// copy's figure is its own part of what they bear of all copies, so limits taken from it add up over the
-// fleet, though no copy knows the others' traffic.
-type borne struct {
+// capacityEstimate is what servers answer of this copy's calls: good answers a second for each unit of their
+// warmth. Each copy's figure is its own part of what they answer for all copies, so limits taken from it add
+// up over the fleet, though no copy knows the others' traffic.
+type capacityEstimate struct {
 	answers float64 // decayed; each counts one over the warmth of those that it could have come from
 	seconds float64 // in which such an answer could have come, decayed alike
 	most    float64 // answers a second at the best time, decayed more slowly
@@ -57,14 +57,14 @@
 
 // rate is in answers a second, once a window of seconds or more was seen, at the best time of late: servers
 // that are crowded because others are cold choke and answer less than they could.
-func (r *borne) rate(window float64) float64 {
+func (r *capacityEstimate) rate(window float64) float64 {
 	r.most = max(r.most, r.answers/max(r.seconds, window))
 	return r.most
 }
 
 // note brings the figure up to now, forgetting over a number of seconds. An answer, if one has come, was of
 // one of the servers of a pool that have so much warmth together.
-func (r *borne) note(now time.Duration, over, warmth float64, answered bool) {
+func (r *capacityEstimate) note(now time.Duration, over, warmth float64, answered bool) {
 	if warmth > 0 && r.at > 0 {
 		keep := math.Exp(-(now - r.at).Seconds() / over)
 		r.most *= math.Exp(-(now - r.at).Seconds() / (bestKept * over))
@@ -77,17 +77,17 @@
 	}
 }
 
-// bear notes the time and, where a server is named, its good answer. What warm servers bear tells most: cold
-// ones bear no more than they are sent. Where the pool has no warm one, what was known of them stays, and
-// the cold ones tell if they bear more.
-func (b *Balancer) bear(s *server) {
+// observeCapacity notes the time and, where a server is named, its good answer. What warm servers answer
+// tells most: cold ones answer no more than they are sent. Where the pool has no warm one, what was known of
+// them stays, and the cold ones tell if they answer more.
+func (b *Balancer) observeCapacity(s *server) {
 	pooled := s != nil && s.listed && s.pooled
 	warm, cold := b.poolWarmth()
-	b.warmBorne.note(b.now, b.ramp(), warm, pooled && b.warmth(s) == 1)
-	b.coldBorne.note(b.now, b.ramp(), cold, pooled && b.warmth(s) < 1)
+	b.warmCapacity.note(b.now, b.ramp(), warm, pooled && b.warmth(s) == 1)
+	b.coldCapacity.note(b.now, b.ramp(), cold, pooled && b.warmth(s) < 1)
 }
 
-// ramp is for how many seconds what is borne is remembered: half of a server's way to its full capacity is
+// ramp is how many seconds the capacity estimate goes back: half of a server's way to its full capacity is
 // long enough for a copy of few calls, and short enough to follow the load.
 func (b *Balancer) ramp() float64 { return (b.set.WarmAfter/2 + b.set.FallFor).Seconds() }
 
@@ -131,38 +131,38 @@
 	return s.credit.left >= 0
 }
 
-// pace is what the growth of credit goes by, the same for all cold servers at one time.
-type pace struct {
+// creditGrowth is what the growth of credit goes by, the same for all cold servers at one time.
+type creditGrowth struct {
 	at     time.Duration
 	known  bool
 	each   float64 // own good answers a second that a warm server bears
 	copies float64 // that have a server in their pools
 }
 
-// findPace brings the pace up to now. The copies that have a server in their pools are taken to have them as
-// wide as this one's. A copy that has seen no warm server takes it that those of its pool, once warm, bear
-// what is asked of it.
-func (b *Balancer) findPace() {
-	if b.pace.known && b.pace.at == b.now {
+// updateCreditGrowth brings it up to now. The copies that have a server in their pools are taken to have them
+// as wide as this one's. A copy that has seen no warm server takes it that those of its pool, once warm,
+// answer what is asked of them.
+func (b *Balancer) updateCreditGrowth() {
+	if b.creditGrowth.known && b.creditGrowth.at == b.now {
 		return
 	}
-	b.bear(nil)
+	b.observeCapacity(nil)
 	window, every := b.set.FallFor.Seconds(), max(b.interval.Seconds(), 1e-9)
-	asked := 1 / every / float64(max(1, b.width)) * (1 - b.warmBorne.seconds/b.ramp())
-	b.pace = pace{at: b.now, known: true,
-		each:   max(b.warmBorne.rate(window), b.coldBorne.rate(window), asked),
+	asked := 1 / every / float64(max(1, b.width)) * (1 - b.warmCapacity.seconds/b.ramp())
+	b.creditGrowth = creditGrowth{at: b.now, known: true,
+		each:   max(b.warmCapacity.rate(window), b.coldCapacity.rate(window), asked),
 		copies: max(1, float64(b.set.Balancers)*float64(b.width)/float64(max(1, len(b.ready))))}
 }
 
 // creditRate is how fast the credit of a cold server grows, in requests of mean work a second: by this copy's
 // part of what all may send it.
 func (b *Balancer) creditRate(s *server) float64 {
-	b.findPace()
+	b.updateCreditGrowth()
 	window, warmth := b.set.FallFor.Seconds(), b.warmth(s)
 	copies, most := float64(max(1, b.set.Balancers)), outside
 	if s.pooled {
-		copies = b.pace.copies
-		most = max(most, safeMean(b.set.FallMultiple*warmth*b.pace.each*copies*window))
+		copies = b.creditGrowth.copies
+		most = max(most, safeMean(b.set.FallMultiple*warmth*b.creditGrowth.each*copies*window))
 	}
 	return most / copies / window
 }
