--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // clock tells Unix time, moved by the monotonic clock: it compares with boot_ms and never jumps.
@@ -37,27 +37,27 @@
 	revision                       int           // of the rules that it was checked against
 	answer                         chan answer   // takes one answer without blocking
 
-	mu     sync.Mutex
-	parted bool // its caller has left, or may have: no attempt of it is to begin any more
-	begun  bool // one has begun
+	mu       sync.Mutex
+	departed bool // its caller has left, or may have: no attempt of it is to begin any more
+	begun    bool // one has begun
 }
 
-// begin notes that the first byte of an attempt is written next, unless its caller has parted.
+// begin notes that the first byte of an attempt is written next, unless its caller has departed.
 func (c *call) begin(a *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.parted {
+	if c.departed {
 		return false
 	}
 	a.begun, c.begun = true, true
 	return true
 }
 
-// part keeps further attempts from beginning, and tells whether one has begun.
-func (c *call) part() (begun bool) {
+// depart keeps further attempts from beginning, and tells whether one has begun.
+func (c *call) depart() (begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.parted = true
+	c.departed = true
 	return c.begun
 }
 
@@ -94,7 +94,7 @@
 	arrived    struct{ call *call }
 	callerGone struct {
 		call   *call
-		how    parting
+		how    departure
 		at     time.Duration
 		advice time.Duration // when to come back, for a refusal
 	}
@@ -102,11 +102,11 @@
 		attempt *attempt
 		result  result
 	}
-	listNews    struct{ list list }
-	listFailed  struct{}
-	listLate    struct{} // discovery says nothing: the list that the node last had must do
-	newSettings struct {
-		settings woodpick.Settings
+	listNews        struct{ list list }
+	listFailed      struct{}
+	discoverySilent struct{} // discovery says nothing: the list that the node last had must do
+	newSettings     struct {
+		settings balancer.Settings
 		rules    *rules
 		inForce  func(at time.Duration)
 	}
@@ -119,7 +119,7 @@
 	attempts []*attempt
 	out      int
 	answered bool
-	parted   parting       // to the module its client has gone, unless this is present
+	departed departure     // to the module its client has gone, unless this is present
 	advice   time.Duration // for a refusal then
 	ran      bool          // an attempt that has ended may have run
 }
@@ -155,7 +155,7 @@
 // channels with room, and attempts run in goroutines of their own.
 type loop struct {
 	clock     clock
-	balancer  *woodpick.Balancer
+	balancer  *balancer.Balancer
 	events    chan event
 	start     func(*attempt) // begins an attempt; must not block
 	subscribe func()
@@ -175,7 +175,7 @@
 	stats   stats
 }
 
-func newLoop(b *woodpick.Balancer, c clock, log *slog.Logger) *loop {
+func newLoop(b *balancer.Balancer, c clock, log *slog.Logger) *loop {
 	return &loop{clock: c, balancer: b, sockets: func() []any { return nil }, events: make(chan event, 1024), log: log,
 		pending: map[string]*pending{}, listed: map[string]target{}}
 }
@@ -217,7 +217,7 @@
 			return
 		}
 		a := heap.Pop(&l.alarms).(alarm)
-		l.handle(now, woodpick.Timer{Token: a.token})
+		l.handle(now, balancer.Timer{Token: a.token})
 	}
 }
 
@@ -240,74 +240,74 @@
 		}
 		l.stats.Requests++
 		l.pending[e.call.id] = &pending{call: e.call}
-		l.handle(e.call.at, woodpick.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline,
+		l.handle(e.call.at, balancer.Request{ID: e.call.id, Class: e.call.class, Deadline: e.call.deadline,
 			Effort: e.call.effort})
 	case callerGone:
 		l.lag(e.at)
 		if p := l.pending[e.call.id]; p != nil && p.call == e.call && !p.answered {
-			l.part(p, e)
+			l.depart(p, e)
 		}
 	case ended:
 		l.lag(e.result.at)
 		l.end(e.attempt, e.result)
 	case newSettings:
-		l.handle(l.clock.now(), woodpick.Reconfigure{Settings: e.settings})
+		l.handle(l.clock.now(), balancer.Reconfigure{Settings: e.settings})
 		l.rules.Store(e.rules)
 		e.inForce(l.clock.now())
 	case lastCall:
-		l.handle(l.clock.now(), woodpick.Closing{})
+		l.handle(l.clock.now(), balancer.Closing{})
 		for _, p := range l.pending { // to the module these are answered
-			if p.parted != present && !p.answered {
-				l.conclude(p)
+			if p.departed != present && !p.answered {
+				l.answerDeparted(p)
 			}
 		}
 	case listNews:
 		if !e.list.full {
-			l.takeKnown()
+			l.useCachedList()
 		}
 		l.takeList(e.list, false)
 	case listFailed:
-		l.handle(l.clock.now(), woodpick.ListFailed{})
-	case listLate:
-		l.takeKnown()
+		l.handle(l.clock.now(), balancer.ListFailed{})
+	case discoverySilent:
+		l.useCachedList()
 	}
 }
 
-// part has no further attempt made for a caller that has left, or whose leaving can't be seen: to the
+// depart has no further attempt made for a caller that has left, or whose leaving can't be seen: to the
 // module its client has gone. One that has only stopped sending gets the answer of an attempt that has
 // begun, which goes on unless the caller is known to be gone.
-func (l *loop) part(p *pending, e callerGone) {
-	first := p.parted == present
-	p.parted, p.advice = e.how, e.advice
+func (l *loop) depart(p *pending, e callerGone) {
+	first := p.departed == present
+	p.departed, p.advice = e.how, e.advice
 	if first {
 		l.stats.Gone++
-		l.handle(e.at, woodpick.ClientGone{ID: e.call.id})
+		l.handle(e.at, balancer.ClientGone{ID: e.call.id})
 	}
 	if e.how == gone {
 		p.answered = true // nobody reads one
-		l.cancelSpared(p)
+		l.cancelKept(p)
 		l.forget(p)
 		return
 	}
-	l.concludeUnlessBegun(p)
+	l.answerUnlessBegun(p)
 }
 
-// concludeUnlessBegun answers a parted caller unless an attempt may still bring an answer that it reads.
-func (l *loop) concludeUnlessBegun(p *pending) {
+// answerUnlessBegun answers a departed caller unless an attempt may still bring an answer that it reads.
+func (l *loop) answerUnlessBegun(p *pending) {
 	if p.answered {
 		return
 	}
 	for _, a := range p.attempts {
-		if p.parted == halfClosed && !a.ended && a.hasBegun() {
+		if p.departed == halfClosed && !a.ended && a.hasBegun() {
 			return
 		}
 	}
-	l.conclude(p)
+	l.answerDeparted(p)
 }
 
-// conclude gives a parted caller the final answer that the module leaves out: a refusal unless an attempt
+// answerDeparted gives a departed caller the final answer that the module leaves out: a refusal unless an attempt
 // may have run.
-func (l *loop) conclude(p *pending) {
+func (l *loop) answerDeparted(p *pending) {
 	ran := p.ran
 	for _, a := range p.attempts {
 		ran = ran || !a.ended && a.hasBegun()
@@ -319,10 +319,10 @@
 	}
 }
 
-// cancelSpared calls off the attempts that went on for a caller that had only stopped sending.
-func (l *loop) cancelSpared(p *pending) {
+// cancelKept calls off the attempts that went on for a caller that had only stopped sending.
+func (l *loop) cancelKept(p *pending) {
 	for _, a := range p.attempts {
-		if a.spared {
+		if a.kept {
 			a.cancel()
 		}
 	}
@@ -335,18 +335,18 @@
 	p.out--
 	a.ended = true
 	switch r.ending {
-	case woodpick.Unreachable, woodpick.Overloaded, woodpick.Void:
+	case balancer.Unreachable, balancer.Overloaded, balancer.Void:
 	default:
 		p.ran = p.ran || a.hasBegun()
 	}
-	if r.ending == woodpick.Success && !p.answered {
+	if r.ending == balancer.Success && !p.answered {
 		l.stats.Served++
 		l.answer(p, answer{kind: served, body: r.body, header: r.contentType})
 	}
-	l.handle(r.at, woodpick.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
+	l.handle(r.at, balancer.Outcome{ID: a.call.id, Attempt: a.n, Server: a.to.server, Ending: r.ending,
 		Latency: r.at - a.sent, Ended: p.answered})
-	if p.parted != present {
-		l.concludeUnlessBegun(p)
+	if p.departed != present {
+		l.answerUnlessBegun(p)
 	}
 	l.forget(p)
 }
@@ -354,7 +354,7 @@
 func (l *loop) answer(p *pending, a answer) {
 	p.answered = true
 	p.call.answer <- a
-	l.cancelSpared(p)
+	l.cancelKept(p)
 }
 
 // forget drops a call once nothing of it is left, as the module does.
@@ -364,10 +364,10 @@
 	}
 }
 
-// takeKnown begins with the list that the node last had, unless a newer one has been heard. What the agent
+// useCachedList begins with the list that the node last had, unless a newer one has been heard. What the agent
 // holds counts as told from a process's first moment: until it is known, or can't be had, no server may be
 // sent to by an old list, and what callers ask for is held.
-func (l *loop) takeKnown() {
+func (l *loop) useCachedList() {
 	if !l.heard {
 		l.takeList(l.known, true)
 	}
@@ -385,10 +385,10 @@
 	if news.full {
 		clear(l.listed)
 	}
-	e := woodpick.ServerList{Full: news.full, Cached: cached}
+	e := balancer.ServerList{Full: news.full, Cached: cached}
 	for _, t := range news.targets {
 		e.Servers = append(e.Servers, t.Server)
-		if t.State == woodpick.Gone {
+		if t.State == balancer.Gone {
 			delete(l.listed, t.ID)
 		} else {
 			l.listed[t.ID] = t
@@ -402,7 +402,7 @@
 func (l *loop) tellReady() {
 	ready := false
 	for _, t := range l.listed {
-		ready = ready || t.State == woodpick.Ready
+		ready = ready || t.State == balancer.Ready
 	}
 	l.ready.Store(ready)
 }
@@ -410,7 +410,7 @@
 // holds says that a list tells nothing new.
 func (l *loop) holds(news list) bool {
 	for _, t := range news.targets {
-		if held, ok := l.listed[t.ID]; ok && held != t || !ok && t.State != woodpick.Gone {
+		if held, ok := l.listed[t.ID]; ok && held != t || !ok && t.State != balancer.Gone {
 			return false
 		}
 	}
@@ -418,23 +418,23 @@
 }
 
 // handle feeds the module and carries out what it decides.
-func (l *loop) handle(at time.Duration, e woodpick.Event) {
+func (l *loop) handle(at time.Duration, e balancer.Event) {
 	l.now = max(l.now, at)
 	for _, a := range l.balancer.Handle(l.now, e) {
 		switch a := a.(type) {
-		case woodpick.Send:
+		case balancer.Send:
 			l.send(a)
-		case woodpick.Cancel:
+		case balancer.Cancel:
 			if p := l.pending[a.ID]; p != nil && a.Attempt < len(p.attempts) {
 				l.cancel(p, p.attempts[a.Attempt])
 			}
-		case woodpick.Refuse:
+		case balancer.Refuse:
 			l.finish(a.ID, answer{kind: refused, retryAfter: a.RetryAfter})
-		case woodpick.Fail:
+		case balancer.Fail:
 			l.finish(a.ID, answer{kind: failed})
-		case woodpick.Wake:
+		case balancer.Wake:
 			heap.Push(&l.alarms, alarm{a.At, a.Token})
-		case woodpick.Subscribe:
+		case balancer.Subscribe:
 			l.subscribe()
 		}
 	}
@@ -442,12 +442,12 @@
 
 // cancel calls an attempt off, or later if its caller may still read what it brings.
 func (l *loop) cancel(p *pending, a *attempt) {
-	if a.spared = p.parted == halfClosed && a.hasBegun(); !a.spared {
+	if a.kept = p.departed == halfClosed && a.hasBegun(); !a.kept {
 		a.cancel()
 	}
 }
 
-func (l *loop) send(s woodpick.Send) {
+func (l *loop) send(s balancer.Send) {
 	p := l.pending[s.ID]
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &attempt{ctx: ctx, cancel: cancel, call: p.call, n: len(p.attempts),
@@ -489,9 +489,9 @@
 	}
 	e := s.Endings
 	l.log.With(l.sockets()...).Info("traffic", "requests", s.Requests, "served", s.Served, "refused", s.Refused,
-		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[woodpick.Success],
-		"failure", e[woodpick.Failure], "overloaded", e[woodpick.Overloaded],
-		"timed_out", e[woodpick.TimedOut], "unreachable", e[woodpick.Unreachable],
-		"broken", e[woodpick.Broken], "withdrawn", e[woodpick.Withdrawn], "void", e[woodpick.Void],
+		"failed", s.Failed, "gone", s.Gone, "sends", s.Sends, "success", e[balancer.Success],
+		"failure", e[balancer.Failure], "overloaded", e[balancer.Overloaded],
+		"timed_out", e[balancer.TimedOut], "unreachable", e[balancer.Unreachable],
+		"broken", e[balancer.Broken], "withdrawn", e[balancer.Withdrawn], "void", e[balancer.Void],
 		"pending", len(l.pending), "lag_max", s.LagMax, "lag_mean", s.LagSum/time.Duration(s.Events))
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"woodpick"
+	"balancer"
 )
 
 // limit is how long a test waits for what must come; only a failing one waits so long.
@@ -194,17 +194,17 @@
 
 // testConfig is a deployment with a class of each kind and long limits.
 func testConfig(known string) Config {
-	class := func(name string, e woodpick.Effect) woodpick.Class {
-		return woodpick.Class{Name: name, Effect: e, Scope: woodpick.ScopeAll, Window: limit,
+	class := func(name string, e balancer.Effect) balancer.Class {
+		return balancer.Class{Name: name, Effect: e, Scope: balancer.ScopeAll, Window: limit,
 			Aim: limit, Deadline: 2 * limit, Worth: 1}
 	}
 	return Config{Name: "n", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Seed: 1, MemoryMB: 192,
 		Sockets: 1024, ConnIdle: time.Minute, ConnectTimeout: limit,
 		Known: []byte(strings.Replace(known, "%d", "1", 1)),
-		Settings: woodpick.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
+		Settings: balancer.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true,
 			Tick: time.Millisecond, MaxRetryAfter: 2 * time.Second, ColdFrom: 1, WholeWeight: 1,
-			Classes: []woodpick.Class{class("view", woodpick.Safe), class("note", woodpick.Unsafe),
-				class("keyed", woodpick.Keyed)}}}
+			Classes: []balancer.Class{class("view", balancer.Safe), class("note", balancer.Unsafe),
+				class("keyed", balancer.Keyed)}}}
 }
 
 // startNode runs a node until the test ends, or until the returned function is called.
@@ -623,7 +623,7 @@
 		t.Fatal(err)
 	}
 	defer n.listener.Close()
-	n.loop.take(listLate{})
+	n.loop.take(discoverySilent{})
 	told := 0
 	n.loop.servers = func([]target, bool) { told++ }
 	for i, c := range []struct {
@@ -873,19 +873,19 @@
 	say(caller, a) // the next request's first byte
 	f.track(a, http.StateIdle)
 	f.track(b, http.StateNew) // one too many
-	if a.going || !f.crowded() {
+	if a.going || !f.overLimit() {
 		t.Fatal("a connection with a request on it was let go")
 	}
 	say(caller, a)
 	say(a, caller)
 	f.grace.idle = limit
 	f.track(a, http.StateIdle)
-	if a.going || !f.crowded() {
+	if a.going || !f.overLimit() {
 		t.Fatal("a connection idle for a moment only was let go")
 	}
 	f.grace.idle = 0
 	f.track(b, http.StateActive)
-	if !a.going || f.crowded() {
+	if !a.going || f.overLimit() {
 		t.Fatal("the idle connection was not let go")
 	}
 	a.SetReadDeadline(time.Time{}) // net/http does, after it has said that it is idle
