--- a/admission.go
+++ b/admission.go
@@ -3,7 +3,10 @@
 
 package balancer
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // full says that the node has as many calls out as the tiers below answer in good time. Only the
 // first tier holds back: a call refused further down wastes what was done above it. A client's repeat,
@@ -46,8 +49,8 @@
 
 // steer moves the window so that latencies stay at their target: crowded servers choke and stay slow,
 // so the crowd must wait or be refused here. Slow answers shrink it and good ones open it alike. Once answers
-// are slow on average, or servers turn calls away, the window's unused room is given up at once: a step an
-// answer would leave it open until the servers are full, as the answers that tell come late by then.
+// are slow on average the window's unused room is given up at once: a step an answer would leave it open
+// until the servers are full, as the answers that tell come late by then.
 func (b *Balancer) steer(r *request, e Outcome) {
 	tells := e.Ending == Success || e.Ending == TimedOut || e.Ending == Overloaded || e.Ending == Unreachable
 	if b.set.Tier > 0 || !tells {
@@ -58,10 +61,13 @@
 		over = mostOver
 	}
 	b.crowding += memory * (over - b.crowding)
-	if b.crowding > 1 {
+	if b.crowding > crowdedFrom {
 		b.opening = false
 		b.window = min(b.window, b.busy+1)
 	}
+	if e.Ending == Overloaded {
+		b.cutWindow(r.class)
+	}
 	b.window = max(b.window+b.windowStep(over), 1, windowFloor*b.fairServers())
 }
 
@@ -83,6 +89,17 @@
 	return step
 }
 
+// cutWindow gives up the window's unused room, and a part of it at least, when a server had no place for a
+// call: a full queue tells of a crowd before latencies do, and they tell little while the tiers below are
+// slow. One round of answers is heard between two cuts (the multiplicative decrease of congestion control).
+func (b *Balancer) cutWindow(c *class) {
+	b.opening = false
+	if b.now >= b.nextCut {
+		b.nextCut = b.now + time.Duration(c.mean)
+		b.window = min((1-fullCut)*b.window, b.busy+1)
+	}
+}
+
 // value is what an answer in a class adds to the result for the time it takes, so that shedding
 // hits what is worth least; the class served worst counts extra, so none starves.
 func (b *Balancer) value(r *request) float64 {
--- a/policy.go
+++ b/policy.go
@@ -45,7 +45,9 @@
 	leanness    = 0.3    // part of the target given up when all is shed
 	windowSlack = 2      // times the calls out on average up to which the window grows
 	windowGain  = 0.25   // window moved by an answer, for each target that it came under or over
-	mostOver    = 4.0    // times the target that a slow answer counts at most, and a call that was not served
+	mostOver    = 2.0    // times the target that a slow answer counts at most, and a call that was not served
+	crowdedFrom = 1.33   // mean of answers against their targets from which servers are crowded
+	fullCut     = 0.2    // part of the window given up at least when a server is full
 	hanging     = 0.05   // share of a class's attempts that may fail before a call that hangs is cut short
 	sameTry     = 0.05   // by how much times given to tries may differ and be held for the same
 	mostVotes   = 50     // counted for the time that is usual
@@ -72,12 +74,13 @@
 
 	errors       float64 // share of bad endings, overlong answers among them, of all attempts
 	lastOK       time.Duration
-	effort       float64 // hinted on average, in ns
-	hints        float64 // heard so far
-	tokens       float64 // retry budget
-	window       float64 // own calls admitted at once (first tier)
-	opening      bool    // the window grows quickly: nothing has told yet that servers are crowded
-	crowding     float64 // answers against their targets on average
+	effort       float64       // hinted on average, in ns
+	hints        float64       // heard so far
+	tokens       float64       // retry budget
+	window       float64       // own calls admitted at once (first tier)
+	opening      bool          // the window grows quickly: nothing has told yet that servers are crowded
+	crowding     float64       // answers against their targets on average
+	nextCut      time.Duration // when the window may next be cut for a full server
 	inFlight     int
 	shed         float64          // share of requests answered without an attempt
 	closing      bool             // the host ends
