--- a/recovery_test.go
+++ b/recovery_test.go
@@ -30,7 +30,7 @@
 	replaceAt   = 10500 * msec     // some servers are replaced by cold ones
 	killAt      = 12 * time.Second // most nodes are killed
 	backAt      = 13500 * msec     // and are back
-	troubleTo   = 15 * time.Second //
+	troubleTo   = 15 * time.Second // servers and the tiers below are as before
 	recoveredBy = 16 * time.Second // from here on the fleet should serve as before
 	outageEnd   = 25 * time.Second // of the requests
 	outageTail  = outageEnd + 5*time.Second
