Review case 3: a node never hears from a registry whose answers take 3 s

Where lists are polled, each call is given up after 2.5 s. The node sends requests to a draining server for as long as the registry is that slow, also 6 s after the registry had the change.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p ../bin
-for case in 1 2; do
+for case in 1 2 3; do
 	go build -o "../bin/review-$case" "./$case"
 done
