Report the number of connections being evicted in the traffic line

Change: `downstream.being_evicted`, a gauge, is the number that Conns leaves out of its excess.

The fault itself is not changed by this.

--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -173,10 +173,11 @@
 // ReadAheadReserved returns the number of bytes that are reserved for the read-ahead buffers of all connections.
 func (s *Conns) ReadAheadReserved() int64 { return s.readAheadBudget.reserved.Load() }
 
-// TakeCounts returns the counts since the last call, and the present number of connections.
-func (s *Conns) TakeCounts() (counts Counts, conns int) {
+// TakeCounts returns the counts since the last call, and the present numbers of connections and of those among them
+// that are being evicted.
+func (s *Conns) TakeCounts() (counts Counts, conns, evicting int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts, s.counts = s.counts, Counts{}
-	return counts, len(s.conns)
+	return counts, len(s.conns), s.budget.evicting
 }
--- a/internal/downstream/eviction_test.go
+++ b/internal/downstream/eviction_test.go
@@ -131,6 +131,28 @@
 	}
 }
 
+// A connection is reported as being evicted from the start of its eviction until it is closed.
+func TestConnectionsBeingEvictedAreReported(t *testing.T) {
+	conns := newTestConns(testLimits(10), 0)
+	conns.budget.limits.GracePeriods = GracePeriods{}
+	conn, _ := connPair(t, conns, 0)
+	for _, step := range []struct {
+		name           string
+		do             func()
+		open, evicting int
+	}{
+		{"connected", func() { conns.ConnStateChanged(conn, http.StateNew) }, 1, 0},
+		{"evicted", func() { conns.EvictIdle() }, 1, 1},
+		{"closed", func() { conns.ConnStateChanged(conn, http.StateClosed) }, 0, 0},
+	} {
+		step.do()
+		if _, open, evicting := conns.TakeCounts(); open != step.open || evicting != step.evicting {
+			t.Errorf("%s: %d connections, %d of them being evicted; want %d, %d",
+				step.name, open, evicting, step.open, step.evicting)
+		}
+	}
+}
+
 // The least useful connections are evicted first, and one with an open request never. Each rank has its own grace
 // period.
 func TestEvictionRankAndGracePeriod(t *testing.T) {
--- a/internal/downstream/listener_test.go
+++ b/internal/downstream/listener_test.go
@@ -40,7 +40,7 @@
 	if lines := bytes.Count(log.Bytes(), []byte("\n")); lines < 1 || lines > maxLines {
 		t.Errorf("%d log lines, want 1 to %d:\n%s", lines, maxLines, log.String())
 	}
-	if counts, _ := conns.TakeCounts(); counts.AcceptFailed != failures {
+	if counts, _, _ := conns.TakeCounts(); counts.AcceptFailed != failures {
 		t.Errorf("%d failed accepts counted, want %d", counts.AcceptFailed, failures)
 	}
 	listener.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,10 +114,11 @@
 
 // connectionStats returns the attributes of the traffic line about connections, and resets their counters.
 func (n *Node) connectionStats() []any {
-	counts, open := n.frontend.conns.TakeCounts()
+	counts, open, evicting := n.frontend.conns.TakeCounts()
 	return []any{
-		slog.Group("downstream", "open", open, "accepted", counts.Accepted, "accept_failed", counts.AcceptFailed,
-			"evicted", counts.Evicted, "over_capacity", counts.Rejected, "closed_unread", counts.ClosedUnread),
+		slog.Group("downstream", "open", open, "being_evicted", evicting, "accepted", counts.Accepted,
+			"accept_failed", counts.AcceptFailed, "evicted", counts.Evicted, "over_capacity", counts.Rejected,
+			"closed_unread", counts.ClosedUnread),
 		slog.Group("upstream", "open", n.upstream.Stats().Open),
 	}
 }
