--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +29,8 @@
 	activity    activity      // guarded by conns.mu
 	readTimeout time.Duration // for reading the rest of a request that has started; 0: no limit
 
+	lingerEvicted chan struct{} // closed when the connection is evicted while it lingers
+
 	mu              sync.Mutex
 	requests        http1.RequestScanner
 	requestStarted  bool // bytes of a request have been read since the last response
@@ -51,7 +52,8 @@
 // of a request that has started; 0 means no limit.
 func newConn(nc net.Conn, conns *Conns, readTimeout time.Duration) *Conn {
 	return &Conn{
-		Conn: nc, conns: conns, readTimeout: readTimeout, readAhead: readAheadBuffer{budget: &conns.readAheadBudget},
+		Conn: nc, conns: conns, readTimeout: readTimeout, lingerEvicted: make(chan struct{}),
+		readAhead: readAheadBuffer{budget: &conns.readAheadBudget},
 	}
 }
 
@@ -263,13 +265,9 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// CloseWrite sends a FIN. net/http checks for this method, and uses it to close a connection with unread request bytes
-// in two steps: it calls CloseWrite, and closes the connection some time later. An immediate close would reset the
-// connection, and the reset could discard the response before the client has read it.
-func (c *Conn) CloseWrite() error {
-	c.conns.startLingering(c)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
-	}
-	return errors.ErrUnsupported
+// Close closes the socket and removes the connection from its set, as it holds no descriptor any more.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.conns.socketClosed(c)
+	return err
 }
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -4,16 +4,18 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"basaltdrum/internal/monotime"
 )
 
-// Conns is the set of connections from clients. It keeps them within their share of the process's file descriptors.
-// When there are too many, connections without an open request are evicted, the least useful ones first. A request is
-// rejected only when open requests alone hold more than half of the descriptors.
+// Conns is the set of connections from clients whose sockets are open. It keeps them within their share of the
+// process's file descriptors. When there are too many, connections without an open request are evicted, the least
+// useful ones first. A request is rejected only when open requests alone hold more than half of the descriptors.
 type Conns struct {
 	clock         monotime.Clock
 	upstreamCount func() int // returns the number of upstream connections
+	lingerTimeout time.Duration
 
 	readAheadBudget readAheadBudget // not guarded by mu
 
@@ -30,7 +32,9 @@
 // NewConns returns an empty set. upstreamCount returns the number of upstream connections; it is called
 // while the set's lock is held.
 func NewConns(clock monotime.Clock, limits Limits, upstreamCount func() int) *Conns {
-	s := &Conns{clock: clock, upstreamCount: upstreamCount, conns: map[*Conn]struct{}{}}
+	s := &Conns{
+		clock: clock, upstreamCount: upstreamCount, lingerTimeout: defaultLingerTimeout, conns: map[*Conn]struct{}{},
+	}
 	s.SetLimits(limits)
 	return s
 }
@@ -61,8 +65,7 @@
 	case http.StateIdle:
 		s.setPhase(c, PhaseIdle)
 	default:
-		s.setPhase(c, PhaseLingering)
-		delete(s.conns, c)
+		s.remove(c)
 		c.releaseReadAhead()
 		return
 	}
@@ -143,6 +146,22 @@
 	}
 }
 
+// socketClosed records that a connection's socket is closed. net/http reports StateClosed some time later.
+func (s *Conns) socketClosed(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(c)
+}
+
+// remove removes a connection whose socket is closed, if it has not been removed yet. The caller holds s.mu.
+func (s *Conns) remove(c *Conn) {
+	if _, open := s.conns[c]; !open {
+		return
+	}
+	s.setPhase(c, PhaseLingering) // neither active nor being evicted
+	delete(s.conns, c)
+}
+
 // Count returns the number of connections.
 func (s *Conns) Count() int {
 	s.mu.Lock()
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -138,10 +138,10 @@
 	if c.activity.beingEvicted {
 		return
 	}
-	evicting := true
+	evicting := false
 	switch {
 	case c.activity.phase == PhaseLingering:
-		c.Close()
+		s.evictLingering(c)
 	case c.activity.phase == PhaseReading || c.activity.phase == PhaseNew && c.hasRequestBytes():
 		evicting = c.abortRead()
 	default:
@@ -153,6 +153,15 @@
 	}
 }
 
+// evictLingering closes a connection whose last response is written. It is not counted as being evicted, as its
+// descriptor is free at once. The caller holds s.mu.
+func (s *Conns) evictLingering(c *Conn) {
+	_ = c.Conn.Close()
+	close(c.lingerEvicted)
+	s.remove(c)
+	s.counts.Evicted++
+}
+
 // EvictIdle evicts idle connections, and new ones on which nothing has arrived during their grace period. New ones have
 // a grace period because the request of a client that has just connected may be in transit. EvictIdle returns the
 // number of connections that are not closed yet.
--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -150,6 +150,28 @@
 	testutil.Until(t, "the other connections to be evicted", func() bool { return !n.frontend.conns.OverLimit() })
 }
 
+// Guards against clients whose requests are too long shutting out others (review/2): the connections of the former are
+// closed to make room, and no longer count.
+func TestTooLongRequestsLeaveRoomForOtherClients(t *testing.T) {
+	t.Parallel()
+	n, _ := startNode(t, configWithServers(testutil.NewServer(t, testutil.Echo)), func(n *Node) {
+		limits := downstreamLimits(n.cfg)
+		limits.Descriptors, limits.UpstreamReserve, limits.RejectReserve = 8, 4, 8
+		limits.GracePeriods.Lingering = 0
+		n.frontend.conns.SetLimits(limits)
+	})
+	for i := range 100 { // many more than the node has descriptors
+		long := dial(t, n)
+		fmt.Fprintf(long, "POST /note/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: long-%d\r\nX-Deadline: 60\r\n"+
+			"Content-Length: 60000000\r\n\r\nthe first part", i)
+		long.Expect(t, http.StatusRequestEntityTooLarge, "")
+		testutil.ExpectClosed(t, long.Reader, "the sending side of the connection")
+	}
+	client := dial(t, n)
+	client.SendGet("usual")
+	client.Expect(t, http.StatusOK, "for usual")
+}
+
 // A complete request is served even if its connection is chosen for eviction just after its head was read or while it
 // waits in the handler. A connection without a request is evicted instead, and the client's departure is still noticed.
 // The read of a partial request is aborted.
