Evict lingering connections before a new connection is closed unread

What callers see: a full node closed a new connection unread, although it held lingering connections whose grace period was over.

Evictions otherwise follow changes of connections, so the first connection after a quiet moment met lingering ones that could have been closed. Found by reading, when the other callers of the counts were looked through.

Change: it evicts first and decides again. Only a lingering connection is closed at once; the others that are evicted still make room for the next one.

Test: TestLingeringConnectionMakesRoomForANewOne fails before ("a new connection would be closed unread", "2 connections are counted as closed unread"), passes after (-race, 20 of 20).

--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -102,17 +102,20 @@
 	return s.budget.upstreamAllowance(len(s.conns))
 }
 
-// atHardLimit reports whether one more connection would take a descriptor that is reserved for others. If so, the
-// caller closes the connection before it reaches net/http, and it is counted as closed unread. As ConnStateChanged is
-// not called for it, other connections are evicted here, to make room for the next one.
+// atHardLimit reports whether one more connection would take a descriptor that is reserved for others, although others
+// were evicted to make room: for this one if they linger, and for the next one if they close later. If so, the caller
+// closes the connection before it reaches net/http, and it is counted as closed unread.
 func (s *Conns) atHardLimit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.budget.isExhausted(len(s.conns), s.upstreamCount()) {
+	if !s.isExhausted() {
 		return false
 	}
-	s.counts.ClosedUnread++
 	s.evictExcess()
+	if !s.isExhausted() {
+		return false
+	}
+	s.counts.ClosedUnread++
 	return true
 }
 
@@ -136,6 +139,10 @@
 // excess returns by how many the connections exceed the limit, not counting those being evicted. The caller holds s.mu.
 func (s *Conns) excess() int { return s.budget.excess(len(s.conns), s.upstreamCount()) }
 
+// isExhausted reports whether one more connection would take a descriptor that is reserved for others. The caller holds
+// s.mu.
+func (s *Conns) isExhausted() bool { return s.budget.isExhausted(len(s.conns), s.upstreamCount()) }
+
 // startLingering records that net/http has written the last response on a connection and waits for the client to
 // receive it.
 func (s *Conns) startLingering(c *Conn) {
--- a/internal/downstream/linger_test.go
+++ b/internal/downstream/linger_test.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// Guards against a new connection that is closed unread although lingering ones may be closed in its place: their grace
+// period has ended since the last change of a connection.
+func TestLingeringConnectionMakesRoomForANewOne(t *testing.T) {
+	limits := testLimits(8)
+	limits.GracePeriods.Lingering = neverEnds
+	conns := newTestConns(limits, 0)
+	conns.lingerTimeout = neverEnds
+	var ended []chan struct{}
+	for !conns.atHardLimit() {
+		ended = append(ended, startLingering(t, conns, func() {}))
+	}
+	conns.budget.limits.GracePeriods.Lingering = 0
+	if conns.atHardLimit() {
+		t.Error("a new connection would be closed unread, want a lingering one to be closed")
+	}
+	if conns.counts.ClosedUnread != 1 {
+		t.Errorf("%d connections are counted as closed unread, want the one within the grace period",
+			conns.counts.ClosedUnread)
+	}
+	limits = testLimits(0)
+	limits.GracePeriods.Lingering = 0
+	conns.SetLimits(limits)
+	for _, end := range ended {
+		testutil.Wait(t, end, "the end of an evicted connection's goroutine")
+	}
+}
+
 // Guards against goroutines of net/http that outlive their evicted connections: CloseWrite ends its goroutine, so that
 // net/http does not start to sleep.
 func TestLingeringGoroutineEndsWithItsConnection(t *testing.T) {
