Count a connection again whose eviction is revoked, and evict another one

What callers see: a full node closes their connections unread for up to 2.5 s, although idle and half-sent requests fill it that it could evict.

Cause: bytes of a request that are read before the eviction of their connection, and recorded after it, revoke the eviction: recordBytesRead restores the read deadline. Conns was not told and counted the connection as being evicted until its next phase. With 24 of them, the reserve for rejections, no excess was seen and nobody was evicted until the read timeout.

Change: Conn.recordBytesRead tells Conns, once Conn.mu is released, as Conns.mu is locked first. The connection counts again, its request has the grace period of a partial request from then on, and another connection is evicted. If the connection has started another phase or eviction meanwhile, nothing is done.

`downstream.evicted` still includes revoked evictions.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -157,22 +157,50 @@
 // longer waits for a request on this connection, so an earlier eviction or abort, which would have ended that wait, is
 // revoked.
 func (c *Conn) startDepartureWatch() bool {
+	if !c.completeOpenRequest() {
+		return false
+	}
+	c.recordBytesRead()
+	return true
+}
+
+// completeOpenRequest records that the open request is complete, and reports whether there is one. A complete request
+// is not aborted.
+func (c *Conn) completeOpenRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requestOpen {
 		c.requestComplete, c.readAborted = true, false
-		c.recordBytesRead()
 	}
 	return c.requestOpen
 }
 
-// recordBytesRead records that bytes were read from the client, which revokes an eviction. The caller holds c.mu.
+// recordBytesRead records that bytes were read from the client, which revokes an eviction.
 func (c *Conn) recordBytesRead() {
+	if c.revokeEviction() {
+		c.conns.evictionRevoked(c) // without c.mu, which is locked after Conns.mu
+	}
+}
+
+// revokeEviction lets net/http read on if the connection was being evicted, unless the read was aborted, and reports
+// whether it did. Bytes of a request have been read.
+func (c *Conn) revokeEviction() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.requestStarted = true
-	if c.readInterrupted && !c.readAborted {
-		c.readInterrupted = false
-		c.Conn.SetReadDeadline(c.deadline)
+	if !c.readInterrupted || c.readAborted {
+		return false
 	}
+	c.readInterrupted = false
+	c.Conn.SetReadDeadline(c.deadline)
+	return true
+}
+
+// isReadInterrupted reports whether net/http's wait for a request is being ended to evict the connection.
+func (c *Conn) isReadInterrupted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readInterrupted
 }
 
 func (c *Conn) hasRequestBytes() bool {
--- a/internal/downstream/departure.go
+++ b/internal/downstream/departure.go
@@ -197,9 +197,7 @@
 func (c *Conn) recordReadResult(n int, err error) {
 	switch {
 	case n > 0:
-		c.mu.Lock()
 		c.recordBytesRead()
-		c.mu.Unlock()
 	case errors.Is(err, io.EOF):
 		c.recordDeparture(HalfClosed)
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -162,6 +162,19 @@
 	s.counts.Evicted++
 }
 
+// evictionRevoked records that bytes of a request were read from a connection that was being evicted, which revokes the
+// eviction. The grace period of the partial request starts, and another connection is evicted in place of this one.
+// Nothing is recorded if the connection has started another phase or another eviction since then.
+func (s *Conns) evictionRevoked(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.activity.beingEvicted || c.isReadInterrupted() {
+		return
+	}
+	s.setPhase(c, c.activity.phase)
+	s.evictExcess()
+}
+
 // EvictIdle evicts idle connections, and new ones on which nothing has arrived during their grace period. New ones have
 // a grace period because the request of a client that has just connected may be in transit. EvictIdle returns the
 // number of connections that are not closed yet.
