--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -38,22 +38,15 @@
 	requestComplete bool // the body of the open request has been read to its end
 	readAhead       readAheadBuffer
 	watch           departureWatch
-	deadline        time.Time // the read deadline that net/http has set, or requestDeadline in its place
-	requestDeadline time.Time // when readTimeout expires; zero while no request is being read
-	readInterrupted bool      // the read deadline is in the past, to evict the connection
-	readAborted     bool      // set by abortRead: bytes that arrive do not revoke readInterrupted
+	deadline        readDeadline
 }
 
-// pastDeadline is a deadline that ends a wait at once. It is an hour back, so that a step of the wall clock can't
-// move it into the future.
-var pastDeadline = time.Now().Add(-time.Hour)
-
 // newConn wraps the socket nc of a connection that belongs to conns. readTimeout limits the time for reading the rest
 // of a request that has started; 0 means no limit.
 func newConn(nc net.Conn, conns *Conns, readTimeout time.Duration) *Conn {
 	return &Conn{
 		Conn: nc, conns: conns, readTimeout: readTimeout, lingerEvicted: make(chan struct{}),
-		readAhead: readAheadBuffer{budget: &conns.readAheadBudget},
+		readAhead: readAheadBuffer{budget: &conns.readAheadBudget}, deadline: readDeadline{conn: nc},
 	}
 }
 
@@ -137,11 +130,9 @@
 func (c *Conn) startRequestTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readTimeout <= 0 || !c.requestDeadline.IsZero() || !c.requests.MidRequest() {
-		return
+	if c.readTimeout > 0 && c.requests.MidRequest() {
+		c.deadline.startRequest(c.readTimeout)
 	}
-	c.requestDeadline = time.Now().Add(c.readTimeout)
-	_ = c.setReadDeadline(c.deadline) // if the connection is closed, the read that follows reports it
 }
 
 // startRequest records that net/http has read a request's head.
@@ -170,7 +161,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requestOpen {
-		c.requestComplete, c.readAborted = true, false
+		c.requestComplete = true
+		c.deadline.allowRevocation()
 	}
 	return c.requestOpen
 }
@@ -188,19 +180,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestStarted = true
-	if !c.readInterrupted || c.readAborted {
-		return false
-	}
-	c.readInterrupted = false
-	c.Conn.SetReadDeadline(c.deadline)
-	return true
+	return c.deadline.revoke()
 }
 
 // isReadInterrupted reports whether net/http's wait for a request is being ended to evict the connection.
 func (c *Conn) isReadInterrupted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readInterrupted
+	return c.deadline.isInterrupted()
 }
 
 func (c *Conn) hasRequestBytes() bool {
@@ -216,10 +203,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.requestStarted && !socketpeek.IsReadable(c.Conn) {
-		c.readInterrupted = true
-		c.Conn.SetReadDeadline(pastDeadline)
+		c.deadline.interrupt()
 	}
-	return c.readInterrupted
+	return c.deadline.isInterrupted()
 }
 
 // abortRead ends the wait for the rest of a request, and reports whether it did. It does nothing if the request
@@ -231,8 +217,7 @@
 	if c.requestComplete || socketpeek.IsReadable(c.Conn) {
 		return false
 	}
-	c.readInterrupted, c.readAborted = true, true
-	c.Conn.SetReadDeadline(pastDeadline)
+	c.deadline.abort()
 	return true
 }
 
@@ -274,23 +259,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.IsZero() {
-		c.requestDeadline = time.Time{}
-	}
-	return c.setReadDeadline(t)
-}
-
-// setReadDeadline sets the read deadline, unless the connection is being evicted. While a request is being
-// read, its own deadline replaces t, so that a request which starts shortly before the idle timeout has as much time
-// as any other. The caller holds c.mu.
-func (c *Conn) setReadDeadline(t time.Time) error {
-	if !c.requestDeadline.IsZero() {
-		t = c.requestDeadline
-	}
-	c.deadline = t
-	if c.readInterrupted {
-		return nil
+		c.deadline.endRequest()
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.deadline.set(t)
 }
 
 // Close closes the socket and removes the connection from its set, as it holds no descriptor any more.
--- a/internal/downstream/doc.go
+++ b/internal/downstream/doc.go
@@ -21,14 +21,14 @@
 //
 // The package starts no goroutine. Accept runs in the server's goroutine. A Conn is used by the goroutine that the
 // server runs for it, and by the one in which the server reads in the background while a request is open: this read is
-// the departure watch. Both goroutines end when the connection is closed.
+// the departure watch. Both goroutines end when the connection is closed, also while it lingers (CloseWrite).
 //
 // # Locks
 //
 // Conns.mu guards the set, its counts, the budget of descriptors (descriptorBudget) and the activity of each
 // connection (activity). Conn.mu guards the rest of a connection's state, including its read-ahead buffer
-// (readAheadBuffer) and the departure watch of its open request (departureWatch). These types have no lock of their
-// own: their comments name the lock that the caller holds.
+// (readAheadBuffer), its read deadline (readDeadline) and the departure watch of its open request (departureWatch).
+// These types have no lock of their own: their comments name the lock that the caller holds.
 //
 // Conns.mu is locked before Conn.mu, never while Conn.mu is held. The function that counts upstream connections is
 // called while Conns.mu is held, and locks the upstream pool. The pool therefore calls UpstreamAllowance before it
