Limit the time for writing responses that the module does not decide

What callers see: new connections are reset while clients that send readiness checks or invalid requests ahead, and never read the responses, fill a node.

Cause: only writeResponse set a write deadline, for responses of the module. The others, and those of net/http itself, were written without one. Such a write blocks until the client leaves. Its connection can't be evicted either, as it has unread bytes (abortRead).

Test: TestConnectionsOfClientsThatNeverReadTimeOut.

--- a/internal/node/clienttimeouts_test.go
+++ b/internal/node/clienttimeouts_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +79,29 @@
 		}
 	}
 }
+
+// Guards against clients that keep their connections for ever: they send ahead what the node answers without its
+// module, and never read. The write of a response times out, and the connection is closed.
+func TestConnectionsOfClientsThatNeverReadTimeOut(t *testing.T) {
+	n, _ := startNode(t, configWithServers(testutil.NewServer(t, testutil.Echo)), func(n *Node) {
+		server := n.frontend.server
+		server.ReadTimeout, server.IdleTimeout = 10*testutil.Timeout, 10*testutil.Timeout
+		server.WriteTimeout /= 50
+	})
+	for name, path := range map[string]string{"readiness check": "/health/ready", "invalid request": "/none/k"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := dial(t, n)
+			// So long that the limit on the number of requests sent ahead is not reached.
+			const request = "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: ahead\r\nX-Deadline: 60\r\nX-Long: %0100d\r\n\r\n"
+			ahead := []byte(strings.Repeat(fmt.Sprintf(request, path, 0), 1000))
+			var err error
+			for err == nil {
+				_, err = client.Write(ahead)
+			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the node has kept the connection until the end of the test, want it closed")
+			}
+		})
+	}
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -45,6 +45,7 @@
 		Handler:                      f,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
+		WriteTimeout:                 writeTimeout, // from the end of the head; writeResponse starts it anew
 		MaxHeaderBytes:               http1.MaxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ConnState:                    conns.ConnStateChanged,
