--- a/internal/node/clienttimeouts_test.go
+++ b/internal/node/clienttimeouts_test.go
@@ -93,7 +93,8 @@
 			t.Parallel()
 			client := dial(t, n)
 			// So long that the limit on the number of requests sent ahead is not reached.
-			const request = "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: ahead\r\nX-Deadline: 60\r\nX-Long: %0100d\r\n\r\n"
+			const request = "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: ahead\r\nX-Deadline: 60\r\n" +
+				"X-Long: %0100d\r\n\r\n"
 			ahead := []byte(strings.Repeat(fmt.Sprintf(request, path, 0), 1000))
 			var err error
 			for err == nil {
