--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -95,14 +95,18 @@
 	}
 }
 
-// allPages returns the Markdown pages of the docs directory, README.md and CONTRIBUTING.md.
+// allPages returns the Markdown pages of the docs directory and its incidents, README.md and CONTRIBUTING.md.
 func allPages(t *testing.T) []string {
 	t.Helper()
-	pages, err := filepath.Glob("docs/*.md")
-	if err != nil {
-		t.Fatal(err)
+	pages := []string{"README.md", "CONTRIBUTING.md"}
+	for _, pattern := range []string{"docs/*.md", "docs/incidents/*.md"} {
+		matches, err := filepath.Glob(pattern)
+		if err != nil || len(matches) == 0 {
+			t.Fatalf("no page matches %s, error %v", pattern, err)
+		}
+		pages = append(pages, matches...)
 	}
-	return append(pages, "README.md", "CONTRIBUTING.md")
+	return pages
 }
 
 // TestOperationsExplainsEveryLogLine checks that the operations page has each log message of the node.
