--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -17,12 +17,12 @@
 // requests (http1.RequestScanner), the watch for the client's departure while a request is open (departure.go), a
 // read timeout for each request, and eviction without the loss of a request.
 //
-// Eviction does not close the connection. net/http reads the first bytes of a request some time before it
-// reports StateActive, and a Close in between would lose that request. Instead, a read deadline in the past
-// ends net/http's wait for a request. If a request has arrived by then, either it is read and answered, or it
-// is left unread and its client may safely send it again. Conn itself tracks whether a request has started, as
-// ConnState does not show it: after a response, net/http may read the first byte of a pipelined request before it
-// reports StateIdle.
+// Eviction closes a connection only if it lingers after its last response (linger.go). net/http reads the first bytes
+// of a request some time before it reports StateActive, and a Close in between would lose that request. Instead, a read
+// deadline in the past ends net/http's wait for a request (readDeadline). If a request has arrived by then, either it
+// is read and answered, or it is left unread and its client may safely send it again. Conn itself tracks whether a
+// request has started, as ConnState does not show it: after a response, net/http may read the first byte of a pipelined
+// request before it reports StateIdle.
 type Conn struct {
 	net.Conn
 	conns       *Conns
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -14,8 +14,8 @@
 // useful ones first. A request is rejected only when open requests alone hold more than half of the descriptors.
 type Conns struct {
 	clock         monotime.Clock
-	upstreamCount func() int // returns the number of upstream connections
-	lingerTimeout time.Duration
+	upstreamCount func() int    // returns the number of upstream connections
+	lingerTimeout time.Duration // how long a connection lingers that is not evicted
 
 	readAheadBudget readAheadBudget // not guarded by mu
 
