Write long request bodies to endpoints without a copy of them

Change: the head is encoded alone, and a body of more than 4 KiB is written from the Request in a second write. A shorter one is still copied behind the head and sent with a single write. A write that fails before the last byte of either part counts as incomplete, as before.

TestWriteErrorBeforeLastByteIsConnectFailed has rows for a failure in the head and in the body of a long request; its only former row is kept.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -87,10 +87,10 @@
 func (p *Pool) roundTrip(callerCtx context.Context, a *Attempt) Outcome {
 	ctx, cancel := context.WithTimeout(callerCtx, p.clock.Until(a.Deadline))
 	defer cancel()
-	encoded, err := encodeRequest(a.Request)
-	if err != nil || a.remainingTime(p.clock.Now()) == 0 {
+	if a.remainingTime(p.clock.Now()) == 0 {
 		return Outcome{Result: balancer.NotSent}
 	}
+	encoded := encodeRequest(a.Request)
 	c, waiter, err := p.acquire(ctx, a)
 	if err != nil {
 		return Outcome{Result: resultOfAcquireError(callerCtx, err)}
@@ -103,7 +103,7 @@
 		p.abandon(c, waiter)
 		return Outcome{Result: balancer.NotSent}
 	}
-	written, writeErr := c.Write(encoded.text)
+	written, writeErr := encoded.writeTo(c)
 	if writeErr != nil {
 		p.abandon(c, waiter)
 	} else {
@@ -115,7 +115,7 @@
 	if response.err == nil && (writeErr == nil || !response.endedByClose) {
 		return response.Outcome
 	}
-	return Outcome{Result: resultWithoutResponse(callerCtx, ctx, written == len(encoded.text))}
+	return Outcome{Result: resultWithoutResponse(callerCtx, ctx, written)}
 }
 
 // acquire returns a connection on which the first byte of the attempt's request may be written next, and the
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -34,31 +34,51 @@
 	checkOutcome(t, pool, outcome, balancer.ConnectFailed, 0)
 }
 
-// partialWriteConn closes the connection before the last byte of a write, which fails.
-type partialWriteConn struct{ net.Conn }
+// partialWriteConn lets some writes pass, and closes the connection before the last byte of the next one, which fails.
+type partialWriteConn struct {
+	net.Conn
+	completeWrites int
+}
 
-func (c partialWriteConn) Write(p []byte) (int, error) {
+func (c *partialWriteConn) Write(p []byte) (int, error) {
+	if c.completeWrites > 0 {
+		c.completeWrites--
+		return c.Conn.Write(p)
+	}
 	n, _ := c.Conn.Write(p[:len(p)-1])
 	c.Conn.Close()
 	return n, errors.New("connection closed before the last byte")
 }
 
-func (c partialWriteConn) SyscallConn() (syscall.RawConn, error) {
+func (c *partialWriteConn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
 
 func TestWriteErrorBeforeLastByteIsConnectFailed(t *testing.T) {
-	server := testutil.NewServer(t, testutil.Echo)
-	nc, err := net.Dial("tcp", server.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := newTestPool(10)
-	pool.adopt(partialWriteConn{nc}, addEndpoint(pool, server.Address()))
-	outcome := newTestAttempt(t, pool, server.Address()).do(t)
-	checkOutcome(t, pool, outcome, balancer.ConnectFailed, 0)
-	if server.RequestCount() != 0 {
-		t.Errorf("the server received %d requests, want 0", server.RequestCount())
+	for _, test := range []struct {
+		name           string
+		bodyBytes      int
+		completeWrites int // before the write that fails
+	}{
+		{"in the only write", 4, 0},
+		{"in the head before a long body", http1.MaxBodyBytes, 0},
+		{"in a long body", http1.MaxBodyBytes, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server := testutil.NewServer(t, testutil.Echo)
+			nc, err := net.Dial("tcp", server.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			pool := newTestPool(10)
+			pool.adopt(&partialWriteConn{nc, test.completeWrites}, addEndpoint(pool, server.Address()))
+			attempt := newTestAttempt(t, pool, server.Address())
+			attempt.Request.Body = make([]byte, test.bodyBytes)
+			checkOutcome(t, pool, attempt.do(t), balancer.ConnectFailed, 0)
+			if server.RequestCount() != 0 {
+				t.Errorf("the server received %d requests, want 0", server.RequestCount())
+			}
+		})
 	}
 }
 
--- a/internal/upstream/encode_test.go
+++ b/internal/upstream/encode_test.go
@@ -1,10 +1,16 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"basaltdrum/internal/http1"
 )
 
 // The forwarded deadline is never rounded up.
@@ -26,6 +32,42 @@
 	}
 }
 
+// A long body is forwarded unchanged behind the head of its request, and the attempt holds no copy of it. Copies of
+// bodies took the node over its memory limit, and it was killed.
+func TestLongBodyIsForwardedWithoutACopy(t *testing.T) {
+	for _, length := range []int{0, 1, maxCopiedBody, maxCopiedBody + 1, http1.MaxBodyBytes} {
+		t.Run(strconv.Itoa(length), func(t *testing.T) {
+			request := &Request{
+				ID: "id", Method: http.MethodPost, Target: "/note/k?q=1", IdempotencyKey: "key",
+				ContentType: "text/plain", Body: bytes.Repeat([]byte("x"), length),
+			}
+			encoded := encodeRequest(request)
+			if copied := cap(encoded.text); copied > 2*headSizeHint+maxCopiedBody {
+				t.Errorf("the encoded request takes %d bytes for a body of %d", copied, length)
+			}
+			var written bytes.Buffer
+			if complete, err := encoded.writeTo(&written); !complete || err != nil {
+				t.Fatalf("got complete %v, error %v; want true and none", complete, err)
+			}
+			got, err := http.ReadRequest(bufio.NewReader(&written))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(got.Body)
+			if err != nil || !bytes.Equal(body, request.Body) || got.ContentLength != int64(length) {
+				t.Errorf("got a body of %d bytes, error %v; want the request's", len(body), err)
+			}
+			head := [...]string{
+				got.Method, got.RequestURI, got.Host, got.Header.Get("X-Request-Id"), got.Header.Get("Idempotency-Key"),
+				got.Header.Get("Content-Type"),
+			}
+			if want := [...]string{"POST", "/note/k?q=1", upstreamHost, "id", "key", "text/plain"}; head != want {
+				t.Errorf("got %q, want %q", head, want)
+			}
+		})
+	}
+}
+
 // A deadline that has passed, or is about to, is not forwarded.
 func TestPassedDeadlineIsNotForwarded(t *testing.T) {
 	pool := newTestPool(1)
