Limit the memory that open requests and their responses hold

Cause: the number of open requests was limited by descriptors only. The runtime's memory limit is a target for the garbage collector, which can't free what is in use.

Evidence: with short bodies the node stays at 25 MB (20 at a limit of 32), so connections are not the cause. With long ones it needs 69 MB at limits of 32, 40, 48 and 64 MB alike, with up to 62% of the core in the collector, so the memory is in use and no garbage. 720 clients that stop in the middle of a body took a node of 32 MB to 69 MB in the same way.

Change: package membudget. A request reserves memory when its head is valid, before its body is read; without any its body is discarded and it gets the 503 of a node at its limit. Responses of more than 4 KiB take one of a fixed number of slots, or wait in the kernel's buffers. Such a wait counts as a local fault, not against the endpoint. Both are given back when the client has its response and the last attempt has ended. Bodies have buffers of their declared length, and an upstream connection has a read buffer only while a response arrives. The runtime's limit leaves 8 MiB for what it does not count (at most a quarter and at least a sixteenth of memory_mb; before: a quarter). The traffic line has a group memory.

Why it works: what is in use stays within 15/16 of the heap limit less 3 MiB, with 1/8 left to garbage.

Worse: requests are refused with 503 that were served while memory lasted.

--- a/cmd/balancer/clients_test.go
+++ b/cmd/balancer/clients_test.go
@@ -68,7 +68,7 @@
 }
 
 // newServer starts a server, and returns its entry in a list.
-func newServer(t *testing.T, name string, handle http.HandlerFunc) string {
+func newServer(t testing.TB, name string, handle http.HandlerFunc) string {
 	t.Helper()
 	server := httptest.NewServer(handle)
 	t.Cleanup(server.Close)
--- a/cmd/balancer/helpers_test.go
+++ b/cmd/balancer/helpers_test.go
@@ -38,7 +38,7 @@
 }
 
 // build builds the commands that deploy/balancer.toml runs. Tests must not write to the build's directory.
-func build(t *testing.T) {
+func build(t testing.TB) {
 	t.Helper()
 	readSources(t) // the result of each test depends on the sources
 	program.once.Do(func() {
@@ -71,7 +71,7 @@
 
 // readSources reads the program's sources, so that go test takes them as inputs of the test. The test binary contains
 // few of them, and a result cached before a change would be reported for the changed program.
-func readSources(t *testing.T) {
+func readSources(t testing.TB) {
 	t.Helper()
 	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
 		switch {
@@ -140,7 +140,7 @@
 }
 
 // address waits until the process serves, and returns the address that it listens on.
-func (p *process) address(t *testing.T) string {
+func (p *process) address(t testing.TB) string {
 	t.Helper()
 	var match []string
 	eventually(t, "the program to serve", func() bool {
@@ -169,7 +169,7 @@
 }
 
 // launch starts the program with a configuration. Unless sockets is 0, it is the hard limit on open descriptors.
-func launch(t *testing.T, config string, sockets int) *process {
+func launch(t testing.TB, config string, sockets int) *process {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -197,7 +197,7 @@
 var servingAt = regexp.MustCompile(`msg=serving .*address=(\S+)`)
 
 // eventually polls a condition, and fails the test if it does not hold within waitTimeout.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(waitTimeout); !condition(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"io"
+	"errors"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -10,6 +10,7 @@
 
 	"basaltdrum/internal/downstream"
 	"basaltdrum/internal/http1"
+	"basaltdrum/internal/membudget"
 	"basaltdrum/internal/monotime"
 	"basaltdrum/internal/upstream"
 )
@@ -31,14 +32,15 @@
 	drain  drainer
 	server *http.Server
 	conns  *downstream.Conns
+	memory *membudget.Budget
 }
 
 func newFrontend(
-	clock monotime.Clock, conns *downstream.Conns, rules *atomic.Pointer[requestRules], post func(Event),
-	ready func() bool, log *slog.Logger,
+	clock monotime.Clock, conns *downstream.Conns, memory *membudget.Budget, rules *atomic.Pointer[requestRules],
+	post func(Event), ready func() bool, log *slog.Logger,
 ) *frontend {
 	f := &frontend{
-		clock: clock, post: post, ready: ready, conns: conns, rules: rules,
+		clock: clock, post: post, ready: ready, conns: conns, memory: memory, rules: rules,
 		drain: drainer{clock: clock, conns: conns, post: post},
 	}
 	f.server = &http.Server{
@@ -87,16 +89,20 @@
 		return
 	}
 	req, err := f.readRequest(r, conn, head)
-	if err != nil {
+	if err != nil && !errors.Is(err, errMemoryExhausted) {
 		writeInvalidRequest(w, conn, err)
 		return
 	}
-	http.NewResponseController(w).SetReadDeadline(time.Time{}) // the deadline was for reading the request
-	w.Header().Del("Connection")
+	keepOpen(w)
+	if err != nil {
+		f.reject(w, conn)
+		return
+	}
+	defer req.Memory.Release()
 	// If the client has departed, or its departure could not be detected, no attempt may start: its pipelined requests
 	// are rejected one after another. A client that has only half-closed its connection may read the responses.
 	if conn.AwaitCaughtUp() != downstream.Present || !f.conns.AdmitRequest(conn) {
-		f.writeResponse(w, conn, Response{Kind: ResponseRejected, retryAfter: f.rules.Load().retryAfter})
+		f.reject(w, conn)
 		return
 	}
 	f.post(requestReceived{req})
@@ -139,6 +145,11 @@
 	}
 }
 
+// reject answers a complete request that is not passed to the decision module.
+func (f *frontend) reject(w http.ResponseWriter, conn *downstream.Conn) {
+	f.writeResponse(w, conn, Response{Kind: ResponseRejected, retryAfter: f.rules.Load().retryAfter})
+}
+
 // writeResponse writes the final response to a request. The response closes the connection if there are too many
 // connections or the node shuts down, unless a pipelined request was read from the connection, which would then get no
 // response.
@@ -151,7 +162,8 @@
 }
 
 // readRequest reads a complete request and validates what the node and the endpoints rely on, so that no part of an
-// invalid request is forwarded. The client's deadline counts from the first byte of the request.
+// invalid request is forwarded. The client's deadline counts from the first byte of the request. The caller releases
+// the memory of the request. If there is none, readRequest discards the body and returns errMemoryExhausted.
 func (f *frontend) readRequest(r *http.Request, conn *downstream.Conn, head http1.RequestHead) (*request, error) {
 	req := &request{
 		Request: upstream.Request{
@@ -163,7 +175,7 @@
 	if err := f.rules.Load().validateHead(req, r); err != nil {
 		return nil, err
 	}
-	if err := req.readBody(r, conn); err != nil {
+	if err := req.readBody(r, f.memory, conn.BodyError); err != nil {
 		return nil, err
 	}
 	req.receivedAt = f.clock.Now()
@@ -171,23 +183,38 @@
 	return req, nil
 }
 
-// readBody reads the body, with a Content-Length or in chunked coding. Trailers are dropped.
-func (req *request) readBody(r *http.Request, conn *downstream.Conn) error {
+// readBody reads the body, with a Content-Length or in chunked coding, once it has reserved the memory of the request.
+// Trailers are dropped. framingError returns the error in the framing of the body that was read. After an error, no
+// memory is reserved.
+func (req *request) readBody(r *http.Request, memory *membudget.Budget, framingError func() error) error {
+	if req.Memory = memory.Reserve(heldBytes(r)); req.Memory == nil {
+		return discardBody(r, framingError)
+	}
 	if r.ContentLength == 0 {
 		return nil
 	}
 	var err error
-	req.Body, err = io.ReadAll(io.LimitReader(r.Body, http1.MaxBodyBytes+1))
-	framingErr := conn.BodyError()
+	req.Body, err = http1.ReadBody(r.Body, r.ContentLength, req.reserveBody(r))
+	if errors.Is(err, errMemoryExhausted) {
+		err = discardBody(r, framingError)
+	} else if err = bodyError(err, framingError()); err == nil && len(req.Body) > 0 && req.Method == http.MethodGet {
+		err = errGetWithBody
+	}
+	if err != nil {
+		req.Memory.Release()
+	}
+	return err
+}
+
+// bodyError returns the error that a client gets for a body, given the errors of reading it and of its framing.
+func bodyError(readError, framingError error) error {
 	switch {
-	case len(req.Body) > http1.MaxBodyBytes:
+	case errors.Is(readError, http1.ErrTooLong):
 		return errBodyTooLong
-	case framingErr != nil:
-		return framingErr
-	case err != nil:
+	case framingError != nil:
+		return framingError
+	case readError != nil:
 		return errBodyIncomplete
-	case len(req.Body) > 0 && req.Method == http.MethodGet:
-		return errGetWithBody
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"basaltdrum/internal/discovery"
 	"basaltdrum/internal/downstream"
 	"basaltdrum/internal/endpointlist"
+	"basaltdrum/internal/membudget"
 	"basaltdrum/internal/monotime"
 	"basaltdrum/internal/upstream"
 )
@@ -45,11 +46,10 @@
 // initialRevision is the revision of the configuration that a node starts with.
 const initialRevision = 1
 
-// LimitResources limits the process to one core and sets the memory limit of the Go runtime to three quarters of the
-// configured one.
+// LimitResources limits the process to one core, and sets the memory limit of the Go runtime.
 func LimitResources(cfg Config) {
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(heapLimit(cfg.MemoryMB))
 }
 
 // New sets up a node and starts to listen. Nothing is served before Run.
@@ -66,7 +66,8 @@
 	}
 	conns := downstream.NewConns(clock, downstreamLimits(cfg), n.upstream.Connections)
 	n.upstream.Allowance = conns.UpstreamAllowance
-	n.frontend = newFrontend(clock, conns, &loop.rules, loop.post, loop.Ready, log)
+	memory := membudget.New(memoryLimits(cfg), n.connections)
+	n.frontend = newFrontend(clock, conns, memory, &loop.rules, loop.post, loop.Ready, log)
 	loop.traffic.connectionStats = n.connectionStats
 	cached := n.setUpDiscovery(cfg)
 	loop.SetHooks(LoopHooks{
@@ -112,14 +113,17 @@
 	}()
 }
 
-// connectionStats returns the attributes of the traffic line about connections, and resets their counters.
+// connectionStats returns the attributes of the traffic line about connections and memory, and resets their counters.
 func (n *Node) connectionStats() []any {
 	counts, open, evicting := n.frontend.conns.TakeCounts()
+	memory := n.frontend.memory.TakeStats()
 	return []any{
 		slog.Group("downstream", "open", open, "being_evicted", evicting, "accepted", counts.Accepted,
 			"accept_failed", counts.AcceptFailed, "evicted", counts.Evicted, "over_capacity", counts.Rejected,
 			"closed_unread", counts.ClosedUnread),
 		slog.Group("upstream", "open", n.upstream.Stats().Open),
+		slog.Group("memory", "requests", memory.Requests, "bytes", memory.Bytes, "responses", memory.Responses,
+			"rejected", memory.Rejected),
 	}
 }
 
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -85,12 +85,18 @@
 	var invalid *requestError
 	bodyValid := errors.As(err, &invalid) && !invalid.inBody
 	if bodyValid && conn.HasPipelinedRequest() {
-		http.NewResponseController(w).SetReadDeadline(time.Time{}) // the deadline was for reading the request
-		w.Header().Del("Connection")
+		keepOpen(w)
 	}
 	writeInvalid(w, err)
 }
 
+// keepOpen keeps the connection of a request open after its response. The request has been read completely, which ends
+// the deadline for reading it.
+func keepOpen(w http.ResponseWriter) {
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	w.Header().Del("Connection")
+}
+
 // writeInvalid answers an invalid request with the status of a requestError, or with 400 for an error in its framing.
 func writeInvalid(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -8,6 +8,7 @@
 
 	"basaltdrum/balancer"
 	"basaltdrum/internal/endpointlist"
+	"basaltdrum/internal/membudget"
 	"basaltdrum/internal/netdial"
 )
 
@@ -32,8 +33,9 @@
 	Deadline time.Duration         // clock time at which the attempt is given up
 	NotAfter time.Duration         // clock time after which endpoints no longer discard duplicates; 0: no limit
 
-	writeStarted bool // a byte of it may have been written; guarded by Request.mu
-	localFault   bool // a local fault delayed its connection; used only by the goroutine of Pool.Do
+	memory       *membudget.Reservation // held while Pool.Do runs
+	writeStarted bool                   // a byte of it may have been written; guarded by Request.mu
+	localFault   bool                   // this machine delayed it; used only by the goroutine of Pool.Do
 }
 
 // WriteStarted reports whether a byte of the attempt may have been written.
@@ -68,12 +70,14 @@
 	EndedAt     time.Duration // clock time; for a response, when its last byte was read
 	Body        []byte        // body of a successful response
 	ContentType string        // Content-Type of a successful response; empty if the endpoint sent none
-	LocalFault  bool          // a fault of this machine delayed or prevented the connection
+	LocalFault  bool          // this machine delayed or prevented the connection, or delayed the response
 }
 
 // Do makes an attempt and returns its outcome. When it returns, the connection of the attempt is closed or idle again.
 // The end of ctx cancels the attempt.
 func (p *Pool) Do(ctx context.Context, a *Attempt) Outcome {
+	a.memory = a.Request.Memory.Share()
+	defer a.memory.Release()
 	outcome := p.roundTrip(ctx, a)
 	outcome.LocalFault = a.localFault
 	if outcome.EndedAt == 0 {
@@ -109,20 +113,24 @@
 	} else {
 		p.recordWritten(c)
 	}
-	response := <-waiter
+	response := <-waiter.result
+	a.localFault = a.localFault || waiter.waitedForMemory.Load()
 	// The kernel reports a reset only once, to the write or to the read. So after a failed write, an apparently orderly
 	// close may have been a reset.
 	if response.err == nil && (writeErr == nil || !response.endedByClose) {
 		return response.Outcome
 	}
+	if response.holdsMemory {
+		a.memory.ReleaseResponse()
+	}
 	return Outcome{Result: resultWithoutResponse(callerCtx, ctx, written)}
 }
 
 // acquire returns a connection on which the first byte of the attempt's request may be written next, and the
-// channel that receives the response. An idle connection that turns out to be unusable is replaced by another one.
-func (p *Pool) acquire(ctx context.Context, a *Attempt) (*conn, chan exchangeResult, error) {
+// waiter that receives the response. An idle connection that turns out to be unusable is replaced by another one.
+func (p *Pool) acquire(ctx context.Context, a *Attempt) (*conn, *responseWaiter, error) {
 	for {
-		waiter := make(chan exchangeResult, 1)
+		waiter := newResponseWaiter(ctx, a.memory)
 		c, fresh, err := p.connect(ctx, a, waiter)
 		if err != nil {
 			return nil, nil, err
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -122,7 +122,7 @@
 	serverEnd.Close()
 	testutil.Until(t, "arrival of the close", func() bool { return socketpeek.IsReadable(nc) })
 	pool := newTestPool(10)
-	waiter := make(chan exchangeResult, 1)
+	waiter := newResponseWaiter(t.Context(), nil)
 	pool.open = 1
 	a := newTestAttempt(t, pool, "127.0.0.1:1")
 	c := pool.startReader(nc, a.Instance, waiter)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,14 +1,15 @@
 package upstream
 
 import (
-	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"basaltdrum/internal/endpointlist"
-	"basaltdrum/internal/http1"
+	"basaltdrum/internal/membudget"
 )
 
 // errUnsolicited reports that an endpoint has sent bytes or has closed the connection while no request was
@@ -26,12 +27,10 @@
 type conn struct {
 	net.Conn
 	instance endpointlist.Instance
-	limited  *http1.LimitedReader // reads from Conn, and limits the length of a response
-	reader   *bufio.Reader        // reads from limited; empty between responses
 
-	waiter     chan exchangeResult // receives one result for the attempt in progress; nil if there is none
-	idleSince  time.Duration       // clock time
-	reusableAt time.Duration       // clock time from which it may carry another request
+	waiter     *responseWaiter // the attempt in progress; nil if there is none
+	idleSince  time.Duration   // clock time
+	reusableAt time.Duration   // clock time from which it may carry another request
 	stage      exchangeStage
 	closed     bool
 }
@@ -61,24 +60,31 @@
 type exchangeResult struct {
 	Outcome
 	endedByClose bool // the end of the response is marked only by the end of the connection
+	holdsMemory  bool // memory was acquired for the body
 	err          error
 }
 
-// newConn returns a connection to an instance. waiter is the channel of its first attempt, or nil if there is none.
-func newConn(nc net.Conn, instance endpointlist.Instance, waiter chan exchangeResult) *conn {
-	limited := &http1.LimitedReader{Reader: nc}
-	return &conn{
-		Conn:     nc,
-		instance: instance,
-		limited:  limited,
-		reader:   bufio.NewReader(limited),
-		waiter:   waiter,
-	}
+// responseWaiter is an attempt that waits for its response on a connection.
+type responseWaiter struct {
+	result chan exchangeResult    // receives one result; has a buffer of one
+	memory *membudget.Reservation // of the attempt's request
+	done   <-chan struct{}        // closed once the attempt has ended
+	// waitedForMemory is set before the response waits for memory.
+	waitedForMemory atomic.Bool
+}
+
+func newResponseWaiter(ctx context.Context, memory *membudget.Reservation) *responseWaiter {
+	return &responseWaiter{result: make(chan exchangeResult, 1), memory: memory, done: ctx.Done()}
+}
+
+// newConn returns a connection to an instance. waiter is its first attempt, or nil if there is none.
+func newConn(nc net.Conn, instance endpointlist.Instance, waiter *responseWaiter) *conn {
+	return &conn{Conn: nc, instance: instance, waiter: waiter}
 }
 
 // reserve registers the attempt whose request is written next. Until markWriting, nothing that arrives can be a
 // response.
-func (c *conn) reserve(waiter chan exchangeResult) {
+func (c *conn) reserve(waiter *responseWaiter) {
 	c.waiter, c.stage = waiter, stageIdle
 }
 
@@ -93,14 +99,17 @@
 	return c.waiter == nil
 }
 
-// expectsResponse reports whether bytes that arrive now may be a response, because an attempt has started to write its
-// request and has not been abandoned.
-func (c *conn) expectsResponse() bool {
-	return c.waiter != nil && c.stage != stageIdle
+// expectedBy returns the attempt whose response bytes that arrive now may be, because it has started to write its
+// request and has not been abandoned. It returns nil if there is none.
+func (c *conn) expectedBy() *responseWaiter {
+	if c.stage == stageIdle {
+		return nil
+	}
+	return c.waiter
 }
 
-// release ends the exchange, and returns the waiter of its attempt, or nil if the attempt has been abandoned.
-func (c *conn) release() chan exchangeResult {
+// release ends the exchange, and returns its attempt, or nil if the attempt has been abandoned.
+func (c *conn) release() *responseWaiter {
 	waiter := c.waiter
 	c.waiter = nil
 	return waiter
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -37,7 +37,7 @@
 
 // Bytes that arrive can be a response only from the first byte of a request until its exchange ends.
 func TestExchangeOfAConnection(t *testing.T) {
-	waiter := make(chan exchangeResult, 1)
+	waiter := newResponseWaiter(t.Context(), nil)
 	for _, test := range []struct {
 		name    string
 		steps   func(*conn)
@@ -70,7 +70,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			connection := &conn{}
 			test.steps(connection)
-			if got := connection.expectsResponse(); got != test.expects {
+			if got := connection.expectedBy() != nil; got != test.expects {
 				t.Errorf("expectsResponse: %v, want %v", got, test.expects)
 			}
 			if got := connection.markWritten(); got != test.ended {
@@ -82,7 +82,7 @@
 
 // Only the first call of release returns the waiter of the attempt.
 func TestReleaseReturnsTheWaiterOnce(t *testing.T) {
-	waiter := make(chan exchangeResult, 1)
+	waiter := newResponseWaiter(t.Context(), nil)
 	c := &conn{}
 	c.reserve(waiter)
 	if got := c.release(); got != waiter {
--- a/internal/upstream/connect.go
+++ b/internal/upstream/connect.go
@@ -12,7 +12,7 @@
 // connect returns a reusable idle connection or a new one; fresh reports whether it is new. After a local fault it
 // retries with backoff for as long as the attempt may start.
 func (p *Pool) connect(
-	ctx context.Context, a *Attempt, waiter chan exchangeResult,
+	ctx context.Context, a *Attempt, waiter *responseWaiter,
 ) (c *conn, fresh bool, err error) {
 	mayWait := func(wait time.Duration) bool { return p.mayStartAfter(a, wait) }
 	localFault, err := netdial.WithBackoff(ctx, mayWait, func() error {
@@ -25,7 +25,7 @@
 
 // connectOnce does the same as connect, with at most one dial.
 func (p *Pool) connectOnce(
-	ctx context.Context, instance endpointlist.Instance, waiter chan exchangeResult,
+	ctx context.Context, instance endpointlist.Instance, waiter *responseWaiter,
 ) (c *conn, fresh bool, err error) {
 	c, err = p.takeIdle(instance, waiter)
 	if c != nil || err != nil {
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -12,9 +12,9 @@
 //
 // An attempt starts when the first byte of its request is about to be written, not when Do is called.
 //
-// Locks are taken in this order: the caller's own, Pool.mu, Request.mu. Callers may hold their own locks when they call
-// Connections, Stats, Timeouts or SetTimeouts. No lock of this package is held while Pool.Allowance or Pool.Dial is
-// called, or while a connection is read or written.
+// Locks are taken in this order: the caller's own, Pool.mu, Request.mu or that of the request's membudget.Reservation.
+// Callers may hold their own locks when they call Connections, Stats, Timeouts or SetTimeouts. No lock of this package
+// is held while Pool.Allowance or Pool.Dial is called, or while a connection is read or written.
 //
 // # Goroutines
 //
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,7 +11,7 @@
 )
 
 // startReader returns a new connection, with its first attempt registered if there is one, and starts its reader.
-func (p *Pool) startReader(nc net.Conn, instance endpointlist.Instance, waiter chan exchangeResult) *conn {
+func (p *Pool) startReader(nc net.Conn, instance endpointlist.Instance, waiter *responseWaiter) *conn {
 	c := newConn(nc, instance, waiter)
 	go p.readLoop(c)
 	return c
@@ -29,23 +29,28 @@
 func (p *Pool) readNext(c *conn) bool {
 	socketpeek.AwaitReadable(c.Conn)
 	p.mu.Lock()
-	stage, expected := c.stage, c.expectsResponse()
+	stage, reading := c.stage, c.expectedBy()
+	if reading != nil {
+		defer reading.memory.Share().Release() // the attempt may be abandoned while its response is read
+	}
 	p.mu.Unlock()
 	response, reusable := exchangeResult{err: fmt.Errorf("%w (request %v)", errUnsolicited, stage)}, false
-	if expected {
-		response, reusable = c.readResponse(p.clock)
+	if reading != nil {
+		response, reusable = c.readResponse(p.clock, reading)
 	}
 	waiter, reusable := p.endExchange(c, response.EndedAt, reusable)
 	if waiter != nil {
-		waiter <- response
+		waiter.result <- response
+	} else if response.holdsMemory {
+		reading.memory.ReleaseResponse()
 	}
 	return reusable
 }
 
-// endExchange ends the exchange on a connection once its response has been read, and returns the waiter of its attempt,
+// endExchange ends the exchange on a connection once its response has been read, and returns its attempt,
 // or nil if the attempt has been abandoned meanwhile. It closes the connection if it is not reusable or was abandoned,
 // and reports whether it is still open.
-func (p *Pool) endExchange(c *conn, endedAt time.Duration, reusable bool) (chan exchangeResult, bool) {
+func (p *Pool) endExchange(c *conn, endedAt time.Duration, reusable bool) (*responseWaiter, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	waiter := c.release()
@@ -73,12 +78,12 @@
 
 // abandon closes a connection whose attempt has ended without a response. Once the response has arrived it does
 // nothing, as the connection may carry another attempt by then.
-func (p *Pool) abandon(c *conn, waiter chan exchangeResult) {
+func (p *Pool) abandon(c *conn, waiter *responseWaiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.waiter == waiter {
 		c.release()
 		p.closeConn(c)
-		waiter <- exchangeResult{err: context.Canceled}
+		waiter.result <- exchangeResult{err: context.Canceled}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -112,7 +112,7 @@
 // takeIdle returns the reusable idle connection to an instance that was used last, and registers waiter for its next
 // response. If there is none, it returns nil after it has reserved a descriptor for a new connection; at the limit, it
 // closes the connection that has been idle the longest to make room.
-func (p *Pool) takeIdle(instance endpointlist.Instance, waiter chan exchangeResult) (*conn, error) {
+func (p *Pool) takeIdle(instance endpointlist.Instance, waiter *responseWaiter) (*conn, error) {
 	// Allowance is called before mu is locked, because the downstream side counts upstream connections while it holds
 	// its own lock.
 	limit := min(p.maxConns, p.Allowance())
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync"
+
+	"basaltdrum/internal/membudget"
 )
 
 // Request is a client's request as it is forwarded. It also decides whether an attempt may start for the request: its
@@ -14,6 +16,7 @@
 	IdempotencyKey string // empty if there is none
 	ContentType    string // empty if there is none
 	Body           []byte
+	Memory         *membudget.Reservation // of the body and the response; each attempt becomes a holder
 
 	mu           sync.Mutex // guards the fields below, and Attempt.writeStarted
 	departed     bool       // the client has closed its connection, or may have: no further attempt starts
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -61,25 +61,28 @@
 // without a length ends with the connection. Its body is read only for a 200: any other status without a length counts
 // as a server error, whether its body is complete or not. Bytes that follow a response do not invalidate it, but make
 // the connection not reusable, as they could not be distinguished from the next response.
-func (c *conn) readResponse(clock monotime.Clock) (response exchangeResult, reusable bool) {
-	c.limited.Remaining = maxResponseOverhead
-	resp, err := readHead(c.reader)
+func (c *conn) readResponse(clock monotime.Clock, waiter *responseWaiter) (response exchangeResult, reusable bool) {
+	// The buffer is for this response only: connections wait most of the time, and would hold it meanwhile.
+	limited := &http1.LimitedReader{Reader: c.Conn, Remaining: maxResponseOverhead}
+	reader := bufio.NewReader(limited)
+	resp, err := readHead(reader)
 	if err != nil {
 		return exchangeResult{err: fmt.Errorf("read response head: %w", err)}, false
 	}
 	framing := framingOf(resp)
-	body, err := readBody(c.limited, resp, framing)
+	body, holdsMemory, err := readBody(limited, resp, framing, waiter)
 	if err != nil && resp.StatusCode == http.StatusOK {
 		err = fmt.Errorf("%w: read body delimited by %v: %w", errIncompleteResponse, framing, err)
 		return exchangeResult{err: err}, false
 	}
 	complete := framing == framedByLength && err == nil
+	response.holdsMemory = holdsMemory
 	response.EndedAt, response.endedByClose = clock.Now(), framing == framedByClose
 	response.Result = resultOf(resp, complete)
 	if response.Result == balancer.Success {
 		response.Body, response.ContentType = body, resp.Header.Get("Content-Type")
 	}
-	return response, complete && !resp.Close && c.reader.Buffered() == 0
+	return response, complete && !resp.Close && reader.Buffered() == 0
 }
 
 // resultOf returns the attempt result of a response. The caller has read a 200 to its end.
@@ -141,20 +144,3 @@
 	}
 	return bufio.NewReader(io.MultiReader(strings.NewReader(http11), reader)), true, nil
 }
-
-// readBody reads a body to its end, and fails if it is longer than http1.MaxBodyBytes. It does not read a body whose
-// declared length is greater, nor one that ends with the connection unless the status is 200.
-func readBody(limited *http1.LimitedReader, resp *http.Response, framing bodyFraming) ([]byte, error) {
-	switch {
-	case framing == framingTooLong:
-		return nil, http1.ErrTooLong
-	case framing == framedByClose && resp.StatusCode != http.StatusOK:
-		return nil, nil
-	}
-	limited.Remaining += http1.MaxBodyBytes + 1
-	body, err := io.ReadAll(io.LimitReader(resp.Body, http1.MaxBodyBytes+1))
-	if err == nil && len(body) > http1.MaxBodyBytes {
-		err = http1.ErrTooLong
-	}
-	return body, err
-}
--- a/internal/upstream/writepermission.go
+++ b/internal/upstream/writepermission.go
@@ -36,7 +36,7 @@
 // endpoint has closed the connection or has sent bytes, which cannot be a response to this request, the connection
 // is closed, and the attempt may use another one.
 func (p *Pool) grantWrite(
-	ctx context.Context, c *conn, waiter chan exchangeResult, a *Attempt,
+	ctx context.Context, c *conn, waiter *responseWaiter, a *Attempt,
 ) writePermission {
 	p.mu.Lock()
 	defer p.mu.Unlock()
