Count the bytes of incomplete heads against the memory limit

Change: the scanner of requests knows how many bytes of an incomplete head it has read; the sum over all connections is counted twice until the head is complete (then its request counts it) or the connection is closed.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -33,6 +33,8 @@
 
 	mu              sync.Mutex
 	requests        http1.RequestScanner
+	incompleteHead  int  // bytes of an incomplete head that are counted in conns
+	closed          bool // the socket is closed
 	requestStarted  bool // bytes of a request have been read since the last response
 	requestOpen     bool // a request's head has been read and its response has not started
 	requestComplete bool // the body of the open request has been read to its end
@@ -85,6 +87,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests.Feed(p, at)
+	c.countIncompleteHead()
+}
+
+// countIncompleteHead updates the bytes of incomplete heads that conns counts for the connection. The caller holds
+// c.mu.
+func (c *Conn) countIncompleteHead() {
+	held := c.requests.IncompleteHeadBytes()
+	if c.closed {
+		held = 0
+	}
+	c.conns.incompleteHeads.Add(int64(held - c.incompleteHead))
+	c.incompleteHead = held
 }
 
 // TakeHead returns what the scanner has recorded about the head of r, which net/http has just read, or the error in the
@@ -267,6 +281,15 @@
 // Close closes the socket and removes the connection from its set, as it holds no descriptor any more.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.markClosed()
 	c.conns.socketClosed(c)
 	return err
 }
+
+// markClosed ends the count of the connection's incomplete head.
+func (c *Conn) markClosed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.countIncompleteHead()
+}
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"basaltdrum/internal/monotime"
@@ -18,6 +19,7 @@
 	lingerTimeout time.Duration // how long a connection lingers that is not evicted
 
 	readAheadBudget readAheadBudget // not guarded by mu
+	incompleteHeads atomic.Int64    // bytes that have been read of heads that are not complete
 
 	mu     sync.Mutex
 	budget descriptorBudget
@@ -199,6 +201,9 @@
 // ReadAheadReserved returns the number of bytes that are reserved for the read-ahead buffers of all connections.
 func (s *Conns) ReadAheadReserved() int64 { return s.readAheadBudget.reserved.Load() }
 
+// IncompleteHeadBytes returns how many bytes of heads have been read that are not complete.
+func (s *Conns) IncompleteHeadBytes() int64 { return s.incompleteHeads.Load() }
+
 // TakeCounts returns the counts since the last call, and the present numbers of connections and of those among them
 // that are being evicted.
 func (s *Conns) TakeCounts() (counts Counts, conns, evicting int) {
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -58,6 +58,7 @@
 	line         []byte // the current line so far
 	truncated    bool   // the field line is longer than its buffered part
 	blankAllowed int    // bytes of CR and LF that may be skipped before the next request line
+	headBytes    int    // bytes of the head that is being scanned
 
 	head headScanner // of the request that is being scanned
 	body bodyScanner
@@ -108,6 +109,9 @@
 	return nil
 }
 
+// IncompleteHeadBytes returns how many bytes have been read of a head that is not complete.
+func (s *RequestScanner) IncompleteHeadBytes() int { return s.headBytes }
+
 // MidRequest reports whether a request has started and is not complete.
 func (s *RequestScanner) MidRequest() bool { return s.err == nil && s.position != betweenRequests }
 
@@ -151,6 +155,9 @@
 	if end := bytes.IndexByte(p, '\n'); end >= 0 {
 		part, rest, complete = p[:end+1], p[end+1:], true
 	}
+	if s.position == inHead {
+		s.headBytes += len(part)
+	}
 	limit, tooLong := s.lineLimit()
 	if over := len(s.line) + len(part) - limit; over > 0 {
 		if tooLong != nil {
@@ -201,6 +208,7 @@
 		return errTooManyPipelined
 	}
 	head := s.head.current
+	s.headBytes = 0
 	s.heads = append(s.heads, head)
 	switch {
 	case head.bodyLength == chunkedLength:
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -32,7 +32,7 @@
 // Connections holds the present number of connections, and the bytes that they hold.
 type Connections struct {
 	Downstream, Upstream int
-	ReadAhead            int64 // size of the read-ahead buffers, in bytes
+	Buffered             int64 // bytes that clients have sent and no open request has counted yet
 }
 
 // Budget limits the memory of open requests, connections and responses.
@@ -86,7 +86,7 @@
 	costs := b.limits.Costs
 	used := int64(connections.Downstream)*costs.DownstreamConn +
 		int64(max(0, connections.Upstream-open))*costs.IdleUpstreamConn +
-		connections.ReadAhead + int64(open)*costs.Request + bytes
+		connections.Buffered + int64(open)*costs.Request + bytes
 	return used <= b.limits.RequestBytes
 }
 
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -37,7 +37,7 @@
 		{"downstream connections", Connections{Downstream: 5}, 0, 100_000 - 5*700 - 1100},
 		{"upstream connections that requests use", Connections{Upstream: 3}, 2, 100_000 - 2*50 - 3*1100},
 		{"idle upstream connections", Connections{Upstream: 5}, 2, 100_000 - 2*50 - 3*1100 - 2*300},
-		{"read-ahead", Connections{ReadAhead: 4096}, 0, 100_000 - 1100 - 4096},
+		{"buffered bytes", Connections{Buffered: 4096}, 0, 100_000 - 1100 - 4096},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := New(testLimits, func() Connections { return test.connections })
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -32,6 +32,10 @@
 	garbageMemoryDivisor  = 8
 )
 
+// headCopies is the number of copies of a request's head that are held at the same time: net/http grows its buffers
+// while it reads, and the head of an attempt is encoded later.
+const headCopies = 2
+
 // memoryCosts is the memory that connections and requests hold besides bodies: the stacks of their goroutines, their
 // buffers and the objects of net/http.
 var memoryCosts = membudget.Costs{DownstreamConn: 18 << 10, IdleUpstreamConn: 6 << 10, Request: 24 << 10}
@@ -57,7 +61,8 @@
 func (n *Node) connections() membudget.Connections {
 	conns := n.frontend.conns
 	return membudget.Connections{
-		Downstream: conns.Count(), Upstream: n.upstream.Connections(), ReadAhead: conns.ReadAheadReserved(),
+		Downstream: conns.Count(), Upstream: n.upstream.Connections(),
+		Buffered: conns.ReadAheadReserved() + headCopies*conns.IncompleteHeadBytes(),
 	}
 }
 
@@ -70,7 +75,7 @@
 			head += len(name) + len(value)
 		}
 	}
-	return int64(2*head) + max(0, r.ContentLength)
+	return int64(headCopies*head) + max(0, r.ContentLength)
 }
 
 // reserveBody returns a function that reserves the memory of the body's buffer before it is allocated. The memory of a
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -281,3 +281,19 @@
 	expectLong(t, n, client, other.Release)
 	untilMemoryFree(t, n)
 }
+
+// Heads that are not complete leave less memory to requests, until their connections are closed.
+func TestIncompleteHeadsLeaveLessMemory(t *testing.T) {
+	t.Parallel()
+	const headBytes = 8 << 10
+	n, _ := startNode(t, testConfig(testutil.CompleteList()), limitMemory(http1.MaxBodyBytes+headBytes))
+	partial, client := dial(t, n), dial(t, n)
+	fmt.Fprintf(partial, "POST /note/k HTTP/1.1\r\nX-Pad: %s", strings.Repeat("x", headBytes))
+	testutil.Until(t, "the head to be read", func() bool { return n.frontend.conns.IncompleteHeadBytes() >= headBytes })
+	sendLong(client, "first", false)
+	client.Expect(t, http.StatusServiceUnavailable, "")
+	partial.Close()
+	testutil.Until(t, "the connection to be closed", func() bool { return n.frontend.conns.IncompleteHeadBytes() == 0 })
+	sendLong(client, "second", false)
+	testutil.Until(t, "the request to be admitted", func() bool { return n.frontend.memory.TakeStats().Requests == 1 })
+}
