Keep an overdue call of a polled registry beside the next one, and use its response

The node never got a list, and sent to a draining server until the end, 14 s after the registry had the change; a node without a cached list was not ready after 40 s.

Cause: a poll was cancelled after 2.5 s and made anew, which put it at the end of the registry's queue again. A call that is lost and one that is slow look alike until then, so a longer limit alone would replace lost calls too late.

Change: after 2.5 s a call still counts as failed, so that the module subscribes again and a lost call is replaced as soon as before, but it stays under way for up to 5 s and the hold. Two calls at most: the older one is ended when the second one is overdue. The newest version wins; an older response that comes later changes nothing; if versions start again, the late call is ended. Both end at shutdown and when the address changes. The watch of a polled registry has a file and a type of its own (polledWatch); a call and its response are in call.go. The watch of an agent is unchanged.

Tests: latecall_test.go, with forced order.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -26,7 +26,7 @@
 type Client struct {
 	// Hold is the long-poll timeout: how long the server may withhold its response while nothing changes.
 	Hold time.Duration
-	// Grace is how long after Hold a response may arrive before the poll is cancelled.
+	// Grace is how long after Hold a response may arrive before the poll counts as failed.
 	Grace time.Duration
 	// StartupWait is the time from the start of Run to the call of Handler.AgentUnresponsive.
 	StartupWait time.Duration
@@ -37,8 +37,9 @@
 
 	handler         Handler
 	log             *slog.Logger
-	polled          bool          // the registry is polled; otherwise an agent pushes lists
-	subscribeSignal chan struct{} // buffers one subscription that runPolled has not served yet
+	polled          bool                                 // the registry is polled; otherwise an agent pushes lists
+	subscribeSignal chan struct{}                        // buffers one subscription that runPolled has not served yet
+	overdueAfter    func(time.Duration) <-chan time.Time // creates the timer of a call of runPolled; time.After
 
 	mu      sync.Mutex
 	current *registryAddress // the address that is watched
@@ -56,6 +57,7 @@
 		log:             log,
 		polled:          cfg.Polled,
 		subscribeSignal: make(chan struct{}, 1),
+		overdueAfter:    time.After,
 	}
 	version := cfg.Version
 	if !cfg.Polled {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -3,25 +3,22 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
 	"time"
 
 	"basaltdrum/internal/endpointlist"
 	"basaltdrum/internal/monotime"
-	"basaltdrum/internal/netdial"
 )
 
 // Durations of a watch.
 //
 // A lost poll must be replaced within NotificationDeadline. The worst case is shorter: once discovery has stopped
-// responding, the poll is cancelled after hold and grace; where lists are pushed, a dial and response headers that
+// responding, the poll counts as failed after hold and grace; where lists are pushed, a dial and response headers that
 // never arrive cost agentCheckTimeout and retryInterval once more; where the registry is polled, the next poll follows
 // after retryInterval or a quarter of the poll interval from the settings (which is 6 s at most), whichever is longer.
 // TestLostPollIsReplacedInTime adds these up.
 //
-// An agent that became unresponsive during a poll does not respond to it even after it recovers, so a poll is cancelled
-// shortly after its hold. Where lists are pushed, the list that the agent receives when discovery recovers counts as
+// An agent that became unresponsive during a poll does not respond to it even after it recovers, so a poll of an agent
+// is cancelled shortly after its hold. The list that the agent receives when discovery recovers counts as
 // known to the node at once, and draining endpoints must be avoided 250 ms later. So the hold is shorter than an
 // outage: the outage is detected before it ends, and from then on the agent, which is local and cheap to poll, is
 // checked several times within those 250 ms.
@@ -42,14 +39,6 @@
 // or not. The delay from a failed subscription to the next must be a quarter of it at most.
 const NotificationDeadline = 6 * time.Second
 
-// errStaleList reports an incremental update that is older than the list that the node has.
-var errStaleList = errors.New("the update is older than the list")
-
-// statusError is a response of the registry with a status other than 200.
-type statusError int
-
-func (e statusError) Error() string { return fmt.Sprintf("unexpected status %d", int(e)) }
-
 // runPushed polls until ctx ends. Each poll follows the previous response within minPollInterval, as a watch counts as
 // lost when the next poll is late.
 func (c *Client) runPushed(ctx context.Context) {
@@ -76,40 +65,6 @@
 	}
 }
 
-// runPolled serves subscriptions until ctx ends. A subscription is a series of polls that ends with the first failure,
-// which is reported; the balancer module then subscribes again after a delay of its own. That delay is a fraction of
-// the configured poll interval and may be close to 0, and a refused connection fails at once. So the next poll also
-// waits for retryInterval, or until the watch moves to another address.
-func (c *Client) runPolled(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.subscribeSignal:
-		}
-		for c.pollSubscribed(ctx) {
-		}
-	}
-}
-
-// pollSubscribed makes one poll of a subscription, and reports whether another one follows without a new subscription.
-// A poll that failed because of a local fault never reached the registry: the module need not delay the next one, and
-// is not notified.
-func (c *Client) pollSubscribed(ctx context.Context) (again bool) {
-	address := c.currentAddress()
-	_, err := c.poll(ctx, address, false)
-	if err == nil || address.ctx.Err() != nil || ctx.Err() != nil {
-		return ctx.Err() == nil
-	}
-	again = netdial.IsLocalError(err)
-	c.log.Warn("discovery poll failed, retrying", "error", err)
-	if !again {
-		c.handler.SubscriptionFailed()
-	}
-	c.awaitRetry(ctx, address)
-	return again && ctx.Err() == nil
-}
-
 // awaitRetry waits for retryInterval, or until ctx ends or the watch moves to another address.
 func (c *Client) awaitRetry(ctx context.Context, address *registryAddress) {
 	select {
@@ -151,26 +106,20 @@
 // receiveList sends one poll request, reads the list in the response and passes it to the handler. After a malformed or
 // stale list, the next poll requests the complete list, as it is unknown which changes were missed.
 func (c *Client) receiveList(ctx context.Context, address *registryAddress) error {
-	resp, err := address.get(ctx, address.version, c.Hold)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("watch: %w", statusError(resp.StatusCode))
-	}
-	body := newListBody(resp.Body)
-	list, err := endpointlist.Read(body)
-	if body.err != nil {
-		return fmt.Errorf("watch: %w", body.err)
-	}
-	if err == nil && !list.Complete && list.Version < address.version {
-		err = fmt.Errorf("list: %w: version %d after %d", errStaleList, list.Version, address.version)
+	list, err := address.fetchList(ctx, address.version, c.Hold)
+	var malformed *malformedError
+	if errors.As(err, &malformed) {
+		address.version = NoVersion
 	}
 	if err != nil {
-		address.version = NoVersion
 		return err
 	}
+	c.deliver(address, list)
+	return nil
+}
+
+// deliver passes a list to the handler, unless the watch has moved to another address, and records its version.
+func (c *Client) deliver(address *registryAddress, list endpointlist.List) {
 	address.version = list.Version
 	switch {
 	case address.ctx.Err() != nil: // the watch has moved to another address
@@ -179,5 +128,4 @@
 	default:
 		c.handler.ListReceived(list)
 	}
-	return nil
 }
