Limit connections from clients by memory where it allows fewer than the descriptors

Cause: connections count against the memory of requests, but only requests were refused. Where memory is small for the descriptors, idle connections alone used it up, and every request was refused for as long as they stayed.

Change: connections from clients may hold three quarters of the memory of requests and connections; beyond that, idle ones are evicted, and then new ones closed unread, as at the limit of descriptors. At 32 MB that is 728 connections, where 1,024 descriptors allow 732; from 40 MB on it has no effect within the operators' 1,024 descriptors.

--- a/internal/downstream/budget.go
+++ b/internal/downstream/budget.go
@@ -5,6 +5,7 @@
 	Descriptors     int   // for downstream and upstream connections together
 	UpstreamReserve int   // the part of Descriptors that is always reserved for upstream connections
 	RejectReserve   int   // descriptors beyond Descriptors, for connections whose requests are only read to be rejected
+	MaxConns        int   // downstream connections that memory allows; 0: as many as the descriptors allow
 	ReadAhead       int64 // the total size of the read-ahead buffers of all connections, in bytes
 	GracePeriods    GracePeriods
 }
@@ -41,10 +42,13 @@
 }
 
 // excess returns by how many the downstream connections exceed their limit: Descriptors less the share of upstream
-// connections, but at least half of Descriptors. Connections that are being evicted do not count. The result is
-// negative below the limit.
+// connections, but at least half of Descriptors, and at most MaxConns. Connections that are being evicted do not count.
+// The result is negative below the limit.
 func (b *descriptorBudget) excess(downstream, upstream int) int {
 	limit := max(b.limits.Descriptors/2, b.limits.Descriptors-b.upstreamShare(upstream))
+	if b.limits.MaxConns > 0 {
+		limit = min(limit, b.limits.MaxConns)
+	}
 	return downstream - b.evicting - limit
 }
 
@@ -62,7 +66,12 @@
 // upstreamAllowance returns how many descriptors the given number of downstream connections leaves for upstream ones.
 func (b *descriptorBudget) upstreamAllowance(downstream int) int { return b.usable() - downstream }
 
-// isExhausted reports whether one more downstream connection would take a descriptor that is kept for others.
+// isExhausted reports whether one more downstream connection would take a descriptor that is kept for others, or memory
+// that is kept for requests. RejectReserve is beyond both limits.
 func (b *descriptorBudget) isExhausted(downstream, upstream int) bool {
-	return downstream >= b.usable()-b.upstreamShare(upstream)
+	limit := b.usable() - b.upstreamShare(upstream)
+	if b.limits.MaxConns > 0 {
+		limit = min(limit, b.limits.MaxConns+b.limits.RejectReserve)
+	}
+	return downstream >= limit
 }
--- a/internal/downstream/budget_test.go
+++ b/internal/downstream/budget_test.go
@@ -44,6 +44,29 @@
 	}
 }
 
+// Where memory allows fewer connections than the descriptors, its limit applies, and the reserve for rejections is
+// beyond it. Without it, idle connections take the memory of all requests.
+func TestMemoryLimitsConnections(t *testing.T) {
+	limits := Limits{Descriptors: 100, UpstreamReserve: 20, RejectReserve: 10, MaxConns: 40}
+	for _, row := range []struct {
+		downstream, upstream, evicting int
+		excess                         int
+		exhausted                      bool
+	}{
+		{40, 0, 0, 0, false},
+		{41, 0, 0, 1, false},
+		{49, 0, 3, 6, false},
+		{50, 0, 0, 10, true},
+		{40, 70, 0, 0, true}, // by the descriptors
+	} {
+		b := descriptorBudget{limits: limits, evicting: row.evicting}
+		excess, exhausted := b.excess(row.downstream, row.upstream), b.isExhausted(row.downstream, row.upstream)
+		if excess != row.excess || exhausted != row.exhausted {
+			t.Errorf("%+v: got excess %d, exhausted %v", row, excess, exhausted)
+		}
+	}
+}
+
 // A request is admitted while the open requests, including itself, hold at most half of the descriptors.
 func TestDescriptorBudgetAdmitsRequests(t *testing.T) {
 	for _, row := range []struct {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -30,6 +30,9 @@
 	// cycles of the collector.
 	responseMemoryDivisor = 16
 	garbageMemoryDivisor  = 8
+
+	// requestMemoryDivisor is the part of the memory of requests that connections leave to them, as a divisor.
+	requestMemoryDivisor = 4
 )
 
 // headCopies is the number of copies of a request's head that are held at the same time: net/http grows its buffers
@@ -57,6 +60,13 @@
 	}
 }
 
+// maxDownstreamConns returns how many connections from clients the memory of a configuration allows. The memory that
+// each connection holds can't be used by requests, also if it is idle.
+func maxDownstreamConns(cfg Config) int {
+	requests := memoryLimits(cfg).RequestBytes
+	return int((requests - requests/requestMemoryDivisor) / memoryCosts.DownstreamConn)
+}
+
 // connections returns the numbers that the memory budget counts.
 func (n *Node) connections() membudget.Connections {
 	conns := n.frontend.conns
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -297,3 +297,24 @@
 	sendLong(client, "second", false)
 	testutil.Until(t, "the request to be admitted", func() bool { return n.frontend.memory.TakeStats().Requests == 1 })
 }
+
+// At every configuration that is accepted, connections leave memory for several long requests. With the memory and the
+// descriptors that the operators set, memory allows more connections than clients hold, a third of the descriptors.
+func TestConnectionsLeaveMemoryToRequests(t *testing.T) {
+	t.Parallel()
+	const wantLong = 8
+	for _, memoryMB := range []int{minMemoryMB, 20, 24, 32, 40, 48, 64, 128, 192, 1024, maxMemoryMB} {
+		cfg := Config{MemoryMB: memoryMB}
+		limits, conns := memoryLimits(cfg), maxDownstreamConns(cfg)
+		left := limits.RequestBytes - int64(conns)*limits.Costs.DownstreamConn
+		if want := int64(wantLong * (http1.MaxBodyBytes + limits.Costs.Request)); left < want {
+			t.Errorf("%d MB: %d connections leave %d bytes, want at least %d", memoryMB, conns, left, want)
+		}
+		if limits.ResponseSlots < wantLong {
+			t.Errorf("%d MB: %d responses may be held, want at least %d", memoryMB, limits.ResponseSlots, wantLong)
+		}
+		if clients := 1024 / 3; memoryMB >= 32 && conns < clients {
+			t.Errorf("%d MB: %d connections are allowed, want at least %d", memoryMB, conns, clients)
+		}
+	}
+}
