--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -41,7 +41,7 @@
 	for _, test := range []struct {
 		name    string
 		steps   func(*conn)
-		expects bool // what expectsResponse reports after the steps
+		expects bool // whether expectedBy returns an attempt after the steps
 		ended   bool // what markWritten reports then
 	}{
 		{"idle", func(*conn) {}, false, true},
@@ -71,7 +71,7 @@
 			connection := &conn{}
 			test.steps(connection)
 			if got := connection.expectedBy() != nil; got != test.expects {
-				t.Errorf("expectsResponse: %v, want %v", got, test.expects)
+				t.Errorf("an attempt expects the response: %v, want %v", got, test.expects)
 			}
 			if got := connection.markWritten(); got != test.ended {
 				t.Errorf("markWritten: %v, want %v", got, test.ended)
