--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -13,9 +13,6 @@
 // startupWait is how long a new process waits for the endpoint list before it becomes ready with a cached one.
 const startupWait = time.Second
 
-// maxResponseTime is the default of Client.MaxResponseTime.
-const maxResponseTime = 5 * time.Second
-
 // Config specifies the address and the mode in which a Client follows the endpoint list.
 type Config struct {
 	Address string // address and port of the agent or the registry
@@ -31,9 +28,6 @@
 	Hold time.Duration
 	// Grace is how long after Hold a response may arrive before the poll counts as failed.
 	Grace time.Duration
-	// MaxResponseTime is how long the server may take for a poll, in addition to Hold and Grace: the polls of many
-	// nodes may wait in turn. A response that takes longer is not used.
-	MaxResponseTime time.Duration
 	// StartupWait is the time from the start of Run to the call of Handler.AgentUnresponsive.
 	StartupWait time.Duration
 	// Dial opens connections.
@@ -56,7 +50,6 @@
 	c := &Client{
 		Hold:            pollHold,
 		Grace:           pollGrace,
-		MaxResponseTime: maxResponseTime,
 		StartupWait:     startupWait,
 		Dial:            (&net.Dialer{}).DialContext,
 		After:           time.After,
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -13,8 +13,7 @@
 // Run starts these goroutines, and otherwise works in its caller's:
 //
 //   - Where the registry is polled, one for each call, two at most. Run waits for them before it returns.
-//   - A health check of the agent during each poll, which starts once the poll may be lost. Run waits for it before it
-//     polls again.
+//   - A health check of the agent during a poll that may be lost. Run waits for it before it polls again.
 //   - A timer that calls Handler.AgentUnresponsive once. Run stops the timer when it returns, but does not wait for a
 //     call in progress.
 //
--- a/internal/discovery/polled.go
+++ b/internal/discovery/polled.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,6 +11,10 @@
 	"basaltdrum/internal/netdial"
 )
 
+// maxResponseTime is how long the registry may take for a call, besides the hold: its calls wait in turn while many
+// nodes call it. The response to a call that takes longer is not used.
+const maxResponseTime = 5 * time.Second
+
 // polledWatch is the watch of a registry that is polled. The module subscribes; each successful call is followed by the
 // next one, and a failed one is reported, so that the module subscribes again after a delay of its own. That delay is a
 // fraction of the configured poll interval and may be close to 0, and a refused connection fails at once. So the next
@@ -70,7 +75,7 @@
 	w.due = false
 	w.started++
 	address := w.address
-	ctx, cancel := context.WithTimeout(ctx, w.Hold+w.Grace+w.MaxResponseTime)
+	ctx, cancel := context.WithTimeout(ctx, w.Hold+w.Grace+maxResponseTime)
 	k := &call{
 		number: w.started, from: address.version, started: time.Now(), cancel: cancel,
 		result: make(chan callResult, 1), overdue: w.overdueAfter(w.Hold + w.Grace),
@@ -112,11 +117,11 @@
 }
 
 // markLate reports that the newest call is overdue. It ends an earlier late call, which has had more than
-// MaxResponseTime: the newest one was started after a late call's overdue time and retryInterval, and is overdue, too.
+// maxResponseTime: the newest one was started after a late call's overdue time and retryInterval, and is overdue, too.
 func (w *polledWatch) markLate() {
 	w.late.end()
 	w.late, w.newest = w.newest, nil
-	w.reportFailure(overdueError(w.Hold + w.Grace))
+	w.reportFailure(fmt.Errorf("watch: no response after %v: %w", w.Hold+w.Grace, context.DeadlineExceeded))
 }
 
 // reportFailure logs and reports a failed call, unless the next one is due anyway, and starts the wait for the next.
--- a/internal/discovery/registryaddress.go
+++ b/internal/discovery/registryaddress.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"basaltdrum/internal/monotime"
 	"basaltdrum/internal/netdial"
 )
 
@@ -76,8 +77,9 @@
 }
 
 // checkAgent is a health check of the agent: it polls without a hold until a response arrives or ctx ends, and reports
-// whether a response has arrived.
+// whether a response has arrived. It starts after a delay in which a healthy agent responds to the concurrent poll.
 func (a *registryAddress) checkAgent(ctx context.Context, from int64) bool {
+	monotime.Sleep(ctx, agentCheckTimeout)
 	for ctx.Err() == nil {
 		next := time.After(retryInterval)
 		if a.responds(ctx, from) {
