--- a/review/lab2/cases/churn/main.go
+++ b/review/lab2/cases/churn/main.go
@@ -20,7 +20,7 @@
 	sockets      = 512
 	badClients   = 5
 	usualClients = 10
-	duration     = 12 * time.Second
+	duration     = 20 * time.Second
 	half         = "POST /favourite HTTP/1.1\r\nHost: backend.local\r\nX-Requ"
 )
 
--- a/review/lab2/cases/heads/main.go
+++ b/review/lab2/cases/heads/main.go
@@ -140,6 +140,9 @@
 	case kb := <-over:
 		r.Printf("the node held %d KB of private memory, over %d MB: the platform killed it", kb, memoryMB)
 		return lab.Broken
+	default:
+	}
+	select {
 	case <-node.Exited():
 		r.Printf("the node has ended: %s", node.Status())
 		return lab.Broken
