--- a/review/lab2/cases/flood/main.go
+++ b/review/lab2/cases/flood/main.go
@@ -23,7 +23,7 @@
 	told     = 200 * time.Millisecond // by which the time told to a server may exceed what is left: 0.15 s and 50 ms
 )
 
-const badClients = 200
+const badClients = 300
 
 func main() { lab.Main(run) }
 
