--- a/internal/servermodel/server.go
+++ b/internal/servermodel/server.go
@@ -145,7 +145,8 @@
 
 // work runs the running calls until a time at their current rate, and moves those that finish to the blocked calls.
 func (s *Server) work(until time.Duration) {
-	done := s.callRate() * (until - s.now).Seconds()
+	// The conversion rounds the product: otherwise some machines fuse it with the subtraction, and seeded runs differ.
+	done := float64(s.callRate() * (until - s.now).Seconds())
 	s.now = until
 	running := s.running[:0]
 	for _, p := range s.running {
