Limit the fields of a request head, and the memory of all incomplete heads

What callers saw: 250 clients sent heads with thousands of short fields and no end.

Cause: net/http holds each field of a head in a map, 40 to 100 bytes beside its bytes, and limits the bytes of a head only. The memory budget counted twice the bytes of an incomplete head, a sixth of what was held. What was counted had requests rejected, but limited no head. Evidence: at the same number of bytes, long fields took a node of 64 MB to 38 MB, short ones to 123 MB. Excluded: a limit in the handler, since net/http allocates the map for up to 1,000 fields of its first read (57 MB at a limit of 32 with one segment of 4,000 bytes each).

Change: the scanner of the framing allows 100 lines of fields in a head and of trailers, and reports how many bytes net/http may get; net/http gets an error instead of the rest. After an error in a head the lines are still counted. A request without memory gives its fields back before its body is discarded.

--- a/internal/downstream/budget.go
+++ b/internal/downstream/budget.go
@@ -7,6 +7,7 @@
 	RejectReserve   int   // descriptors beyond Descriptors, for connections whose requests are only read to be rejected
 	MaxConns        int   // downstream connections that memory allows; 0: as many as the descriptors allow
 	ReadAhead       int64 // the total size of the read-ahead buffers of all connections, in bytes
+	HeadMemory      int64 // the memory of all incomplete heads, in bytes; 0: no limit
 	GracePeriods    GracePeriods
 }
 
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -33,7 +33,7 @@
 
 	mu              sync.Mutex
 	requests        http1.RequestScanner
-	incompleteHead  int  // bytes of an incomplete head that are counted in conns
+	headMemory      int  // memory of an incomplete head that is counted in conns, in bytes
 	closed          bool // the socket is closed
 	requestStarted  bool // bytes of a request have been read since the last response
 	requestOpen     bool // a request's head has been read and its response has not started
@@ -74,31 +74,57 @@
 	if n := c.takeReadAhead(p); n > 0 {
 		return n, nil
 	}
+	c.limitHeadMemory()
+	if err := c.cutOff(); err != nil {
+		return 0, err
+	}
 	c.startRequestTimeout()
 	n, err := c.Conn.Read(p)
-	c.scan(p[:n])
+	accepted := c.scan(p[:n])
 	c.recordReadResult(n, err)
+	if accepted < n {
+		return accepted, c.cutOff()
+	}
 	return n, err
 }
 
-// scan passes bytes that were just read from the kernel to the scanner of the framing.
-func (c *Conn) scan(p []byte) {
+// scan passes bytes that were just read from the kernel to the scanner of the framing, and returns how many of them
+// net/http may get.
+func (c *Conn) scan(p []byte) (accepted int) {
 	at := c.conns.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests.Feed(p, at)
+	accepted = c.requests.Feed(p, at)
 	c.countIncompleteHead()
+	return accepted
+}
+
+// cutOff returns the error because of which net/http may not get more of what the client has sent, or nil.
+func (c *Conn) cutOff() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests.CutOff()
 }
 
-// countIncompleteHead updates the bytes of incomplete heads that conns counts for the connection. The caller holds
+// countIncompleteHead updates the memory of incomplete heads that conns counts for the connection. The caller holds
 // c.mu.
 func (c *Conn) countIncompleteHead() {
-	held := c.requests.IncompleteHeadBytes()
+	held := c.requests.IncompleteHeadMemory()
 	if c.closed {
 		held = 0
 	}
-	c.conns.incompleteHeads.Add(int64(held - c.incompleteHead))
-	c.incompleteHead = held
+	c.conns.headMemory.used.Add(int64(held - c.headMemory))
+	c.headMemory = held
+}
+
+// limitHeadMemory rejects an incomplete head before more of it is read, if all heads together hold too much memory and
+// this one is longer than those of most clients.
+func (c *Conn) limitHeadMemory() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headMemory > unlimitedHeadMemory && c.conns.headMemory.isExceeded() {
+		c.requests.RejectHead()
+	}
 }
 
 // TakeHead returns what the scanner has recorded about the head of r, which net/http has just read, or the error in the
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"basaltdrum/internal/monotime"
@@ -18,8 +17,8 @@
 	upstreamCount func() int    // returns the number of upstream connections
 	lingerTimeout time.Duration // how long a connection lingers that is not evicted
 
-	readAheadBudget readAheadBudget // not guarded by mu
-	incompleteHeads atomic.Int64    // bytes that have been read of heads that are not complete
+	readAheadBudget readAheadBudget  // not guarded by mu
+	headMemory      headMemoryBudget // not guarded by mu
 
 	mu     sync.Mutex
 	budget descriptorBudget
@@ -44,6 +43,7 @@
 // SetLimits changes the limits, and evicts connections that exceed them.
 func (s *Conns) SetLimits(limits Limits) {
 	s.readAheadBudget.limit.Store(limits.ReadAhead)
+	s.headMemory.limit.Store(limits.HeadMemory)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.limits = limits
@@ -201,8 +201,8 @@
 // ReadAheadReserved returns the number of bytes that are reserved for the read-ahead buffers of all connections.
 func (s *Conns) ReadAheadReserved() int64 { return s.readAheadBudget.reserved.Load() }
 
-// IncompleteHeadBytes returns how many bytes of heads have been read that are not complete.
-func (s *Conns) IncompleteHeadBytes() int64 { return s.incompleteHeads.Load() }
+// IncompleteHeadMemory returns how much memory the heads hold that are not complete, in bytes.
+func (s *Conns) IncompleteHeadMemory() int64 { return s.headMemory.used.Load() }
 
 // TakeCounts returns the counts since the last call, and the present numbers of connections and of those among them
 // that are being evicted.
--- a/internal/downstream/departure.go
+++ b/internal/downstream/departure.go
@@ -100,8 +100,8 @@
 			return errReadAheadFull
 		}
 		n, err := c.Conn.Read(buffer)
-		c.scan(buffer[:n])
-		c.extendReadAhead(n)
+		accepted := c.scan(buffer[:n])
+		c.extendReadAhead(n, n-accepted)
 		c.recordReadResult(n, err)
 		switch {
 		case errors.Is(err, io.EOF):
@@ -120,11 +120,13 @@
 	return c.readAhead.unused()
 }
 
-// extendReadAhead adds the n bytes that were read into the unused part of the read-ahead buffer.
-func (c *Conn) extendReadAhead(n int) {
+// extendReadAhead adds the n bytes that were read into the unused part of the read-ahead buffer, the last of which
+// net/http may not get.
+func (c *Conn) extendReadAhead(n, withheld int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readAhead.extend(n)
+	c.readAhead.withhold(withheld)
 }
 
 // awaitUnread waits until the kernel has received something from the client: bytes, a FIN or an RST. If there is
--- a/internal/downstream/readahead.go
+++ b/internal/downstream/readahead.go
@@ -38,6 +38,7 @@
 	budget   *readAheadBudget
 	bytes    []byte
 	reserved int // bytes that are reserved from the budget for this buffer
+	withheld int // number of bytes at the end that net/http may not get
 }
 
 // size returns the number of buffered bytes.
@@ -64,10 +65,13 @@
 	}
 }
 
-// take moves buffered bytes into p and returns their number.
+// withhold excludes the last n bytes from what take returns, besides those that are withheld already.
+func (b *readAheadBuffer) withhold(n int) { b.withheld += n }
+
+// take moves buffered bytes into p and returns their number. Bytes that are withheld are discarded after the others.
 func (b *readAheadBuffer) take(p []byte) int {
-	n := copy(p, b.bytes)
-	if b.bytes = b.bytes[n:]; len(b.bytes) == 0 {
+	n := copy(p, b.bytes[:len(b.bytes)-b.withheld])
+	if b.bytes = b.bytes[n:]; len(b.bytes) == b.withheld {
 		b.release()
 	}
 	return n
@@ -76,5 +80,5 @@
 // release discards the buffered bytes and gives their memory back to the budget.
 func (b *readAheadBuffer) release() {
 	b.budget.reserve(-b.reserved)
-	b.bytes, b.reserved = nil, 0
+	b.bytes, b.reserved, b.withheld = nil, 0, 0
 }
--- a/internal/downstream/readahead_test.go
+++ b/internal/downstream/readahead_test.go
@@ -85,3 +85,21 @@
 		t.Errorf("%d bytes are reserved for an empty buffer, want 0", budget.reserved.Load())
 	}
 }
+
+// Bytes that are withheld are counted until the bytes before them have been taken, and are never returned.
+func TestWithheldBytesAreNotTaken(t *testing.T) {
+	budget := &readAheadBudget{}
+	budget.limit.Store(1 << 20)
+	b := readAheadBuffer{budget: budget}
+	b.extend(copy(b.unused(), "accepted"))
+	b.extend(copy(b.unused(), "withheld"))
+	b.withhold(len("withheld"))
+	taken := make([]byte, 100)
+	n := b.take(taken)
+	if got := string(taken[:n]); got != "accepted" || b.take(taken) != 0 {
+		t.Errorf("took %q, want the accepted bytes and nothing else", got)
+	}
+	if b.size() != 0 || budget.reserved.Load() != 0 {
+		t.Errorf("got %d bytes with %d reserved, want the memory given back", b.size(), budget.reserved.Load())
+	}
+}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -28,6 +28,7 @@
 type bodyScanner struct {
 	state     bodyState
 	remaining uint64 // bytes left of the body or chunk, or allowed for the rest of the trailers
+	trailers  int    // number of trailer lines so far
 }
 
 // startFixedLength starts a body of length bytes, which must not be 0.
@@ -36,7 +37,7 @@
 }
 
 // startChunked starts a chunked body.
-func (b *bodyScanner) startChunked() { b.state = bodyChunkSize }
+func (b *bodyScanner) startChunked() { b.state, b.trailers = bodyChunkSize, 0 }
 
 // isLine reports whether the next bytes belong to a line, and not to the content.
 func (b *bodyScanner) isLine() bool { return b.state != bodyFixedLength && b.state != bodyChunk }
@@ -66,6 +67,11 @@
 	}
 }
 
+// allowsLine reports whether the next line may start with a byte. Only the number of trailer lines is limited.
+func (b *bodyScanner) allowsLine(first byte) bool {
+	return b.state != bodyTrailers || b.trailers < MaxFieldLines || first == '\r'
+}
+
 // parseLine parses a complete line, including its line ending, and reports whether the body is complete.
 func (b *bodyScanner) parseLine(line []byte) (complete bool, err error) {
 	switch b.state {
@@ -105,5 +111,6 @@
 		return false, errTrailer
 	}
 	b.remaining -= uint64(len(line))
+	b.trailers++
 	return len(line) == len("\r\n"), nil
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -56,6 +56,7 @@
 	isPost        bool
 	hasLength     bool
 	hasCoding     bool
+	fieldLines    int       // number of lines with fields so far
 	previousField fieldKind // of the previous line
 }
 
@@ -73,6 +74,11 @@
 	return maxBufferedField, nil
 }
 
+// allowsLine reports whether a line may start with a byte: the head has ended, or may have more lines with fields.
+func (h *headScanner) allowsLine(first byte) bool {
+	return h.fieldLines < MaxFieldLines || first == '\r' || first == '\n'
+}
+
 // parseLine parses a complete line and reports whether it ends the head. If truncated is true, the end of the line was
 // skipped.
 func (h *headScanner) parseLine(line []byte, truncated bool) (complete bool, err error) {
@@ -83,6 +89,7 @@
 	case len(line) == 0:
 		return true, h.endHead()
 	default:
+		h.fieldLines++
 		return false, h.parseFieldLine(line, truncated)
 	}
 }
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -31,6 +31,8 @@
 	errChunkEnd         FramingError = "a chunk does not end where its size says"
 	errTrailer          FramingError = "the trailers can't be read or are too long"
 	errTooManyPipelined FramingError = "too many requests are sent ahead"
+	errTooManyFields    FramingError = "the head or the trailers have too many lines"
+	errNoHeadMemory     FramingError = "there is no memory for the rest of the head"
 	errFramingDisagrees FramingError = "the request is not where the one before it ends"
 )
 
@@ -51,6 +53,9 @@
 // as strict as net/http. What it rejects has to be answered with an error that closes the connection, so that no
 // request can be smuggled in the body of another. After an error it stops scanning.
 //
+// It also limits the lines of each head and of trailers, which net/http would hold without a limit: net/http must get
+// only the bytes that Feed accepts.
+//
 // It buffers one line at most, and a RequestHead for each pipelined request. It splits the bytes into lines and
 // content; headScanner parses the lines of heads, and bodyScanner those of bodies.
 type RequestScanner struct {
@@ -65,21 +70,49 @@
 
 	heads     []RequestHead // complete heads that net/http has not read yet
 	err       error
+	linesLeft int  // after an error in a head: how many of its lines are still accepted
 	errInBody bool // err is in the body that belongs to the last complete head, not in the next head
 }
 
-// Feed scans bytes that were read at the given clock time.
-func (s *RequestScanner) Feed(p []byte, at time.Duration) {
-	for len(p) > 0 && s.err == nil {
+// Feed scans bytes that were read at the given clock time. It returns how many of them are accepted: all of them, or
+// those before the connection is cut off.
+func (s *RequestScanner) Feed(p []byte, at time.Duration) (accepted int) {
+	rest := p
+	for len(rest) > 0 && s.err == nil {
 		switch {
 		case s.position == betweenRequests:
-			p = s.startRequest(p, at)
+			rest = s.startRequest(rest, at)
 		case s.position == inBody && !s.body.isLine():
-			p = s.skipContent(p)
+			rest = s.skipContent(rest)
 		default:
-			p = s.collectLine(p)
+			rest = s.collectLine(rest)
 		}
 	}
+	if s.err != nil {
+		rest = s.acceptLines(rest)
+	}
+	return len(p) - len(rest)
+}
+
+// acceptLines accepts lines that follow an error in a head, and returns the bytes after them.
+func (s *RequestScanner) acceptLines(p []byte) []byte {
+	for s.linesLeft > 0 {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			return nil
+		}
+		p = p[end+1:]
+		s.linesLeft--
+	}
+	return p
+}
+
+// CutOff returns the FramingError because of which no more bytes are accepted, or nil.
+func (s *RequestScanner) CutOff() error {
+	if s.linesLeft > 0 {
+		return nil
+	}
+	return s.err
 }
 
 // TakeHead removes and returns the head of the request that net/http has just read the head of. It fails with a
@@ -109,8 +142,19 @@
 	return nil
 }
 
-// IncompleteHeadBytes returns how many bytes have been read of a head that is not complete.
-func (s *RequestScanner) IncompleteHeadBytes() int { return s.headBytes }
+// IncompleteHeadMemory returns how much memory a head holds that is not complete, in bytes.
+func (s *RequestScanner) IncompleteHeadMemory() int {
+	if s.headBytes == 0 {
+		return 0
+	}
+	return HeadMemory(s.headBytes, s.head.fieldLines)
+}
+
+// RejectHead rejects a head that is not complete, because there is no memory for the rest of it.
+func (s *RequestScanner) RejectHead() {
+	s.fail(errNoHeadMemory)
+	s.linesLeft = 0
+}
 
 // MidRequest reports whether a request has started and is not complete.
 func (s *RequestScanner) MidRequest() bool { return s.err == nil && s.position != betweenRequests }
@@ -121,10 +165,14 @@
 	return len(s.heads) > 0 || s.err == nil && s.position == inHead
 }
 
-// fail stops the scan. An error in a head keeps the head out of heads; an error in a body follows its complete head.
+// fail stops the scan. An error in a head keeps the head out of heads, and net/http may read the rest of the head; an
+// error in a body follows its complete head, and cuts the connection off.
 func (s *RequestScanner) fail(err error) {
 	s.err = err
 	s.errInBody = s.position == inBody
+	if s.position == inHead {
+		s.linesLeft = MaxFieldLines - s.head.fieldLines
+	}
 	s.line = nil
 }
 
@@ -149,8 +197,12 @@
 }
 
 // collectLine adds bytes to the current line, parses the line once it is complete, and returns the bytes
-// after it.
+// after it. It fails at the first byte of a line beyond the limit on fields.
 func (s *RequestScanner) collectLine(p []byte) []byte {
+	if len(s.line) == 0 && !s.allowsLine(p[0]) {
+		s.fail(errTooManyFields)
+		return p
+	}
 	part, rest, complete := p, []byte(nil), false
 	if end := bytes.IndexByte(p, '\n'); end >= 0 {
 		part, rest, complete = p[:end+1], p[end+1:], true
@@ -186,6 +238,14 @@
 	return s.body.lineLimit()
 }
 
+// allowsLine reports whether the next line may start with a byte.
+func (s *RequestScanner) allowsLine(first byte) bool {
+	if s.position == inHead {
+		return s.head.allowsLine(first)
+	}
+	return s.body.allowsLine(first)
+}
+
 // parseLine parses the current line, which is complete.
 func (s *RequestScanner) parseLine() {
 	var complete bool
--- a/internal/http1/scanner_test.go
+++ b/internal/http1/scanner_test.go
@@ -124,12 +124,28 @@
 	{"a long field name", "GET /a HTTP/1.1\r\n" + strings.Repeat("N", maxBufferedField) + ": v\r\n\r\n", 1, nil},
 	{"a long target", "GET /" + strings.Repeat("a", maxRequestLine) + " HTTP/1.1\r\n\r\n", 0, errRequestLine},
 	{"another version", "GET /a HTTP/2.0\r\n\r\n", 0, errRequestLine},
+	{"as many fields as are allowed", "GET /a HTTP/1.1\r\n" + repeatLine(MaxFieldLines) + "\r\n", 1, nil},
+	{"a field too many", "GET /a HTTP/1.1\r\n" + repeatLine(MaxFieldLines+1) + "\r\n", 0, errTooManyFields},
+	{
+		"a folded line too many",
+		"GET /a HTTP/1.1\r\n" + repeatLine(MaxFieldLines) + " folded\r\n\r\n", 0, errTooManyFields,
+	},
+	{"as many trailers as are allowed", chunkedPost + "0\r\n" + repeatLine(MaxFieldLines) + "\r\n", 1, nil},
+	{"a trailer too many", chunkedPost + "0\r\n" + repeatLine(MaxFieldLines+1) + "\r\n", 1, errTooManyFields},
+	{
+		"as many fields and trailers as are allowed, in two requests",
+		strings.Repeat("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"+repeatLine(MaxFieldLines-1)+
+			"\r\n0\r\n"+repeatLine(MaxFieldLines)+"\r\n", 2), 2, nil,
+	},
 	{
 		"too many pipelined requests",
 		strings.Repeat("GET /a HTTP/1.1\r\n\r\n", maxPipelinedHeads+1), maxPipelinedHeads, errTooManyPipelined,
 	},
 }
 
+// repeatLine returns a number of lines with short fields.
+func repeatLine(lines int) string { return strings.Repeat("A:b\r\n", lines) }
+
 func TestScannerFollowsRequestsInAnyFragments(t *testing.T) {
 	for _, c := range scannerTexts {
 		t.Run(c.name, func(t *testing.T) {
@@ -143,6 +159,39 @@
 	}
 }
 
+// A head is cut off after MaxFieldLines lines, also after an error in it, and a body at an error. net/http would hold
+// ten times the bytes of short fields: 250 clients that sent thousands of them took a node over its memory limit.
+func TestScannerAcceptsALimitedNumberOfFields(t *testing.T) {
+	const requestLine = "GET /a HTTP/1.1\r\n"
+	for _, c := range []struct{ name, accepted, rest string }{
+		{"no error", requestLine + repeatLine(MaxFieldLines) + "\r\nGET /b HTTP/1.1\r\n", ""},
+		{"a field too many", requestLine + repeatLine(MaxFieldLines), repeatLine(MaxFieldLines)},
+		{
+			"an error in the first field",
+			requestLine + "Content-Length: x\r\n" + repeatLine(MaxFieldLines-1), repeatLine(MaxFieldLines),
+		},
+		{"an error in the request line", "GET\r\n" + repeatLine(MaxFieldLines), repeatLine(MaxFieldLines)},
+		{"an error in the last field", requestLine + repeatLine(MaxFieldLines-1) + "C\r\n", "A:b\r\n\r\n"},
+		{"an error in a body", chunkedPost + "x\r\n", "0\r\n\r\n"},
+		{"a trailer too many", chunkedPost + "0\r\n" + repeatLine(MaxFieldLines), "A:b\r\n\r\n"},
+	} {
+		for _, size := range []int{1, 7, len(c.accepted) + len(c.rest)} {
+			s, accepted := &RequestScanner{}, 0
+			for piece := range slices.Chunk([]byte(c.accepted+c.rest), size) {
+				n := s.Feed(piece, 0)
+				if n > 0 && accepted >= len(c.accepted) {
+					t.Errorf("%s: accepts bytes after others that are not accepted", c.name)
+				}
+				accepted += n
+			}
+			if accepted != len(c.accepted) || (s.CutOff() != nil) != (c.rest != "") {
+				t.Errorf("%s, in pieces of %d: %d bytes are accepted, cut off: %v; want %d of %d bytes",
+					c.name, size, accepted, s.CutOff(), len(c.accepted), len(c.accepted)+len(c.rest))
+			}
+		}
+	}
+}
+
 func FuzzScannerAgreesWithHTTP(f *testing.F) {
 	for _, c := range scannerTexts {
 		f.Add(c.text)
--- a/internal/node/chunked_test.go
+++ b/internal/node/chunked_test.go
@@ -154,12 +154,20 @@
 	{"trailers that end with LF", badChunks + "2\r\nok\r\n0\r\nA: b\r\n\n" + hiddenRequest, 400},
 	{"a trailer without a colon", badChunks + "2\r\nok\r\n0\r\nA\r\n\r\n", 400},
 	{"trailers too long", badChunks + "2\r\nok\r\n0\r\n" + strings.Repeat("A: b\r\n", 1000) + "\r\n", 400},
+	{"too many trailers", badChunks + "2\r\nok\r\n0\r\n" + repeatLine(http1.MaxFieldLines+1) + "\r\n", 400},
+	{"too many fields", badHead + repeatLine(http1.MaxFieldLines) + "\r\n", 400},
+	{"too many fields without an end", badHead + repeatLine(2*http1.MaxFieldLines), 400},
+	{"too many folded lines", badHead + "A: b\r\n" + strings.Repeat(" c\r\n", http1.MaxFieldLines) + "\r\n", 400},
+	{"too many fields after an invalid one", badHead + "Content-Length: x\r\n" + repeatLine(http1.MaxFieldLines), 400},
 	{"one byte too many", badChunks + "10001\r\n" + strings.Repeat("b", http1.MaxBodyBytes+1), 413},
 	{"too many chunks", badChunks + strings.Repeat("100\r\n"+strings.Repeat("b", 256)+"\r\n", 260), 413},
 	{"GET with a body in chunks", "GET /view/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: bad\r\nX-Deadline: 60\r\n" +
 		"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 400},
 }
 
+// repeatLine returns a number of lines with short fields.
+func repeatLine(lines int) string { return strings.Repeat("A: b\r\n", lines) }
+
 // An error in the framing of a request is answered with an error status and closes the connection. Nothing of the
 // request, in its body or after it is forwarded.
 func TestFramingErrorsCloseTheConnection(t *testing.T) {
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -195,6 +195,7 @@
 	}
 	var err error
 	req.Body, err = http1.ReadBody(r.Body, r.ContentLength, req.reserveBody(r))
+	r.Trailer = nil // not forwarded, and not counted
 	if errors.Is(err, errMemoryExhausted) {
 		err = discardBody(r, framingError)
 	} else if err = bodyError(err, framingError()); err == nil && len(req.Body) > 0 && req.Method == http.MethodGet {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -31,14 +31,13 @@
 	responseMemoryDivisor = 16
 	garbageMemoryDivisor  = 8
 
+	// headMemoryDivisor is the share of that memory which heads may hold that are not complete, as a divisor.
+	headMemoryDivisor = 8
+
 	// requestMemoryDivisor is the part of the memory of requests that connections leave to them, as a divisor.
 	requestMemoryDivisor = 4
 )
 
-// headCopies is the number of copies of a request's head that are held at the same time: net/http grows its buffers
-// while it reads, and the head of an attempt is encoded later.
-const headCopies = 2
-
 // memoryCosts is the memory that connections and requests hold besides bodies: the stacks of their goroutines, their
 // buffers and the objects of net/http.
 var memoryCosts = membudget.Costs{DownstreamConn: 18 << 10, IdleUpstreamConn: 6 << 10, Request: 24 << 10}
@@ -72,20 +71,20 @@
 	conns := n.frontend.conns
 	return membudget.Connections{
 		Downstream: conns.Count(), Upstream: n.upstream.Connections(),
-		Buffered: conns.ReadAheadReserved() + headCopies*conns.IncompleteHeadBytes(),
+		Buffered: conns.ReadAheadReserved() + conns.IncompleteHeadMemory(),
 	}
 }
 
-// heldBytes returns the bytes that a request holds from its head on: its body, if the length is declared, and two
-// copies of its head, one of which is that of an attempt.
+// heldBytes returns the bytes that a request holds from its head on: its body, if the length is declared, and its head.
 func heldBytes(r *http.Request) int64 {
-	head := len(r.RequestURI)
+	head, fields := len(r.RequestURI), 0
 	for name, values := range r.Header {
 		for _, value := range values {
 			head += len(name) + len(value)
+			fields++
 		}
 	}
-	return int64(headCopies*head) + max(0, r.ContentLength)
+	return int64(http1.HeadMemory(head, fields)) + max(0, r.ContentLength)
 }
 
 // reserveBody returns a function that reserves the memory of the body's buffer before it is allocated. The memory of a
@@ -105,8 +104,9 @@
 }
 
 // discardBody reads the body of a request for which there is no memory, and returns errMemoryExhausted, or the error of
-// an invalid body.
+// an invalid body. It discards the header fields first, as the body may take long to arrive.
 func discardBody(r *http.Request, framingError func() error) error {
+	r.Header = nil
 	if err := bodyError(http1.DiscardBody(r.Body), framingError()); err != nil {
 		return err
 	}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -289,11 +289,14 @@
 	n, _ := startNode(t, testConfig(testutil.CompleteList()), limitMemory(http1.MaxBodyBytes+headBytes))
 	partial, client := dial(t, n), dial(t, n)
 	fmt.Fprintf(partial, "POST /note/k HTTP/1.1\r\nX-Pad: %s", strings.Repeat("x", headBytes))
-	testutil.Until(t, "the head to be read", func() bool { return n.frontend.conns.IncompleteHeadBytes() >= headBytes })
+	headMemory := n.frontend.conns.IncompleteHeadMemory
+	testutil.Until(t, "the head to be read", func() bool {
+		return headMemory() >= int64(http1.HeadMemory(headBytes, 0))
+	})
 	sendLong(client, "first", false)
 	client.Expect(t, http.StatusServiceUnavailable, "")
 	partial.Close()
-	testutil.Until(t, "the connection to be closed", func() bool { return n.frontend.conns.IncompleteHeadBytes() == 0 })
+	testutil.Until(t, "the connection to be closed", func() bool { return headMemory() == 0 })
 	sendLong(client, "second", false)
 	testutil.Until(t, "the request to be admitted", func() bool { return n.frontend.memory.TakeStats().Requests == 1 })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,8 +85,10 @@
 	descriptors := cfg.Sockets - reservedDescriptors
 	return downstream.Limits{
 		Descriptors: descriptors, UpstreamReserve: descriptors / 4, RejectReserve: reservedDescriptors / 2,
-		MaxConns:  maxDownstreamConns(cfg),
-		ReadAhead: int64(cfg.MemoryMB) << 20 / readAheadMemoryDivisor, GracePeriods: downstream.DefaultGracePeriods(),
+		MaxConns:     maxDownstreamConns(cfg),
+		ReadAhead:    int64(cfg.MemoryMB) << 20 / readAheadMemoryDivisor,
+		HeadMemory:   memoryLimits(cfg).RequestBytes / headMemoryDivisor,
+		GracePeriods: downstream.DefaultGracePeriods(),
 	}
 }
 
