Limit connections by what they hold while a body is awaited without memory

Cause: a connection whose request found no memory reads on, to discard the body. A heap profile at that moment shows 19 KB of heap for each, of which 10 KB are net/http's buffers, and its goroutine's stack has grown to 16 KiB. The limit on the number of connections counted 18 KiB for each, which is right for idle ones only.

Change: maxDownstreamConns counts 32 KiB: 409 connections are allowed at 32 MB in place of 728. Above 48 MB nothing changes at up to 1,024 descriptors. What connections take from the memory of requests is counted as before. Cost: idle connections beyond that number are evicted earlier at 32 to 48 MB; a third of 1,024 descriptors, which clients use for requests, is 341.

Test: two rows of TestHeadsStayWithinTheMemoryLimit.

--- a/cmd/balancer/headmemory_test.go
+++ b/cmd/balancer/headmemory_test.go
@@ -41,6 +41,11 @@
 		"short fields before a body that stays out",
 		requestStart + repeatTo(16000, "%s:\r\n") + "Content-Length: 9\r\n\r\n",
 	},
+	{
+		"as many fields as are allowed before such a body",
+		requestStart + repeatTo(16000, "%s: "+strings.Repeat("x", 165)+"\r\n") + "Content-Length: 9\r\n\r\n",
+	},
+	{"a short head before such a body", requestStart + "Content-Length: 9\r\n\r\n"},
 	{"short trailers", requestStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + repeatTo(4000, "%s:\r\n") + "\r\n"},
 }
 
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -42,6 +42,10 @@
 // buffers and the objects of net/http.
 var memoryCosts = membudget.Costs{DownstreamConn: 18 << 10, IdleUpstreamConn: 6 << 10, Request: 24 << 10}
 
+// connReadingBody is the memory of a connection from a client while a body is read for which there is no memory, in
+// bytes: the request itself is held besides memoryCosts.DownstreamConn, and the stack of the goroutine is deeper.
+const connReadingBody = 32 << 10
+
 // heapLimit returns the soft memory limit of the Go runtime for a memory limit of the process, in bytes.
 func heapLimit(memoryMB int) int64 {
 	total := int64(memoryMB) * bytesPerMB
@@ -60,10 +64,10 @@
 }
 
 // maxDownstreamConns returns how many connections from clients the memory of a configuration allows. The memory that
-// each connection holds can't be used by requests, also if it is idle.
+// each connection holds can't be used by requests, also if it is idle, and all of them may be reading a body at once.
 func maxDownstreamConns(cfg Config) int {
 	requests := memoryLimits(cfg).RequestBytes
-	return int((requests - requests/requestMemoryDivisor) / memoryCosts.DownstreamConn)
+	return int((requests - requests/requestMemoryDivisor) / connReadingBody)
 }
 
 // connections returns the numbers that the memory budget counts.
