Limit the fields of a response head before net/http gets them

Cause: the same as for request heads. The head of a response was limited in bytes only, and net/http holds ten times the bytes of a short field, allocated for up to 1,000 fields of its first read.

Change: a reader between the connection and net/http follows the lines of the heads, and fails before the first line beyond 100 lines of fields. Each interim response is limited in the same way. The attempt ends as connection_lost, as for a head that is too long. Trailers need no limit: net/http reads them once they are complete, and gives them back.

--- a/cmd/balancer/headmemory_test.go
+++ b/cmd/balancer/headmemory_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"basaltdrum/internal/http1"
 )
 
 const (
@@ -96,3 +101,72 @@
 	}
 	t.Logf("at most %d of %d kB, and %d of mapped files", peak-mappedFiles, memoryMB<<10, mappedFiles)
 }
+
+// TestResponseHeadsStayWithinTheMemoryLimit is the same for servers, all of which send heads with short fields and no
+// end to a third of the descriptors: the node gives such responses up, and does not hold them until its attempts end.
+func TestResponseHeadsStayWithinTheMemoryLimit(t *testing.T) {
+	const memoryMB, sockets, clients = 64, 1024, 1024 / 3
+	build(t)
+	var arrived, closed atomic.Int64
+	allArrived := make(chan struct{})
+	entry := newRawServer(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		if arrived.Add(1) == clients {
+			close(allArrived)
+		}
+		<-allArrived
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+repeatTo(http1.MaxHeaderBytes-20, "%s:\r\n"))
+		io.Copy(io.Discard, conn)
+		closed.Add(1)
+	})
+	var entries []string
+	for i := range clients {
+		entries = append(entries, strings.Replace(entry, `"uid":""`, fmt.Sprintf(`"uid":"s-%d"`, i), 1))
+	}
+	p := launch(t, memoryConfig(memoryMB, sockets, entries), sockets)
+	address := p.address(t)
+	anonymousKB := func() int {
+		peak, mappedFiles := peakMemoryKB(t, p.cmd.Process.Pid)
+		return peak - mappedFiles
+	}
+	for number := range clients {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		fmt.Fprintf(conn, requestStart+"\r\n", number)
+	}
+	eventually(t, "the node to give up each response, or to exceed its limit", func() bool {
+		return closed.Load() >= clients || anonymousKB() > memoryMB<<10
+	})
+	if used := anonymousKB(); used > memoryMB<<10 {
+		t.Errorf("the node used %d kB, its limit is %d kB", used, memoryMB<<10)
+	}
+	t.Logf("at most %d of %d kB", anonymousKB(), memoryMB<<10)
+}
+
+// newRawServer starts a server that handles each connection with a function, and returns its entry in a list.
+func newRawServer(t *testing.T, handle func(net.Conn)) (entry string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn)
+			}()
+		}
+	}()
+	return listEntry("", listener.Addr().String())
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -64,7 +64,7 @@
 func (c *conn) readResponse(clock monotime.Clock, waiter *responseWaiter) (response exchangeResult, reusable bool) {
 	// The buffer is for this response only: connections wait most of the time, and would hold it meanwhile.
 	limited := &http1.LimitedReader{Reader: c.Conn, Remaining: maxResponseOverhead}
-	reader := bufio.NewReader(limited)
+	reader := bufio.NewReader(&http1.FieldLimitReader{Reader: limited})
 	resp, err := readHead(reader)
 	if err != nil {
 		return exchangeResult{err: fmt.Errorf("read response head: %w", err)}, false
--- a/internal/upstream/response_test.go
+++ b/internal/upstream/response_test.go
@@ -53,6 +53,12 @@
 		response: "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		want:     balancer.Success, reusable: true,
 	},
+	{
+		name: "served with as many fields as are allowed",
+		response: "200 OK\r\nContent-Length: 2\r\n" + strings.Repeat("A:b\r\n", http1.MaxFieldLines-1) +
+			"\r\nok",
+		want: balancer.Success, reusable: true,
+	},
 	{
 		name:     "served and closed",
 		response: "200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
@@ -174,6 +180,16 @@
 		response: "200 OK\r\n" + strings.Repeat("X-Pad: pppp\r\n", maxResponseOverhead/10),
 		want:     balancer.ConnectionLost, end: nodeCloses,
 	},
+	{
+		name:     "too many fields, and no end",
+		response: "200 OK\r\n" + strings.Repeat("A:b\r\n", http1.MaxFieldLines+1),
+		want:     balancer.ConnectionLost, end: nodeCloses,
+	},
+	{
+		name:     "too many fields",
+		response: "200 OK\r\nContent-Length: 2\r\n" + strings.Repeat("A:b\r\n", http1.MaxFieldLines) + "\r\nok",
+		want:     balancer.ConnectionLost, end: nodeCloses,
+	},
 	{
 		name:     "line too long",
 		response: "200 OK\r\nX-Pad: " + strings.Repeat("p", 2*maxResponseOverhead),
