Let no older list of a new discovery address take back a drain

What callers saw: a node was told that a server drains, SIGHUP moved discovery, and the list of the new address was two seconds older.

Cause: Loop.applyList and Table.Apply replace the list by whatever the new address sends, and nothing remembers that a process was told to drain. Evidence: the requests start with the arrival of that list and end with the next one. Excluded: the versions.

Change: endpointlist.Handover. After a move, a process that drains or was removed does not return, and an endpoint does not become its own earlier process, for 4 s from the arrival of the list, whatever the versions are. A list that contradicts what the node knows in this way is older, and endpoints that it does not name are kept for up to 3.5 s. Everything else is in force at once, and after 4 s the list as it is, since all that the new address has to tell counts by then. The discovery client reports the move in order with the lists.

Related paths: servers that were removed, servers that have restarted (they would have counted as warm), polled lists, moves in quick succession.

TestAddressChangeStartsAWatch now forces the order in which the move comes after a poll of the old address, and checks that the move is reported before the list.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -81,7 +81,8 @@
 
 // SetAddress moves the watch to another address. Versions are specific to an address, so the first poll there
 // requests the complete list; the node's current list remains in use until that arrives. The poll of the old address
-// is cancelled, and the first poll of the new address needs no Subscribe.
+// is cancelled, and the first poll of the new address needs no Subscribe. Handler.AddressChanged is called before the
+// first list of the new address is delivered.
 func (c *Client) SetAddress(addr string) {
 	c.mu.Lock()
 	old := c.current
--- a/internal/discovery/handler.go
+++ b/internal/discovery/handler.go
@@ -12,6 +12,9 @@
 	ListReceived(list endpointlist.List)
 	// ListConfirmed reports that the registry has responded and that nothing has changed.
 	ListConfirmed()
+	// AddressChanged reports that the watch has moved to another address. The lists that follow are those of the new
+	// address, which may be older than the last one of the previous address, and may count versions anew.
+	AddressChanged()
 	// SubscriptionFailed reports that a poll has failed, where lists are polled. The next poll needs a Subscribe.
 	SubscriptionFailed()
 	// AgentUnresponsive reports that Client.StartupWait has passed, where lists are pushed. It is called once, even if
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -20,6 +20,7 @@
 const (
 	received     reportKind = "list received"
 	confirmed    reportKind = "list confirmed"
+	moved        reportKind = "address changed"
 	failed       reportKind = "subscription failed"
 	unresponsive reportKind = "unresponsive"
 )
@@ -29,6 +30,7 @@
 
 func (r recorder) ListReceived(list endpointlist.List) { r <- report{received, list} }
 func (r recorder) ListConfirmed()                      { r <- report{kind: confirmed} }
+func (r recorder) AddressChanged()                     { r <- report{kind: moved} }
 func (r recorder) SubscriptionFailed()                 { r <- report{kind: failed} }
 func (r recorder) AgentUnresponsive()                  { r <- report{kind: unresponsive} }
 
--- a/internal/discovery/polled.go
+++ b/internal/discovery/polled.go
@@ -137,6 +137,7 @@
 func (w *polledWatch) move() {
 	w.endCalls()
 	w.address = w.currentAddress()
+	w.handler.AddressChanged()
 	w.due, w.wait = true, nil
 }
 
--- a/internal/discovery/polled_test.go
+++ b/internal/discovery/polled_test.go
@@ -37,9 +37,16 @@
 	agent.Set(false, testutil.CompleteList(testutil.ListEntry("s1", "127.0.0.1:1", "in_service")))
 	c, reports := newClient(t, Config{Address: "127.0.0.1:1", Polled: true, Version: 7})
 	startClient(t, c)
+	c.Subscribe()
+	if got := testutil.Wait(t, reports, "the failed poll of the old address"); got.kind != failed {
+		t.Fatalf("got %+v, want a failed poll", got)
+	}
 	c.SetAddress(agent.Addr().String())
 	if query := testutil.Wait(t, agent.Queries, "a poll"); query != "" {
 		t.Errorf("polled with query %q, want none for the complete list", query)
 	}
+	if got := testutil.Wait(t, reports, "the change of the address"); got.kind != moved {
+		t.Errorf("got %+v before the list, want the change of the address", got)
+	}
 	waitForEntries(t, reports, 1)
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -48,7 +48,12 @@
 	var watched *registryAddress
 	for ctx.Err() == nil {
 		address := c.currentAddress()
-		suspect = suspect || address != watched
+		if address != watched {
+			suspect = true
+			if watched != nil {
+				c.handler.AddressChanged()
+			}
+		}
 		watched = address
 		responds, err := c.poll(ctx, address, suspect)
 		switch {
--- /dev/null
+++ b/internal/endpointlist/handover.go
@@ -0,0 +1,179 @@
+package endpointlist
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"basaltdrum/balancer"
+)
+
+// Durations of a handover.
+const (
+	// ReturnDelay is how long, from the arrival of the new address's list, an endpoint that drains or was removed stays
+	// so although it is listed as ready. Whatever a new address has to tell counts as known to the node by then.
+	ReturnDelay = 4 * time.Second
+
+	// AbsenceDelay is how long, from the start, an endpoint is kept that an older list does not name. It is shorter, as
+	// such an endpoint must not be used any more once the list counts as known.
+	AbsenceDelay = ReturnDelay - 500*time.Millisecond
+)
+
+// handoverPhase is the part of what a new address lists that is in force.
+type handoverPhase int
+
+const (
+	noHandover      handoverPhase = iota
+	keepingAbsent                 // no process returns, and an older list removes no endpoint by not naming it
+	keepingDraining               // no process returns
+)
+
+// Handover is the change of discovery to a new address, whose list may be older than the one that the node has. The
+// versions do not tell, as the new address may count them anew.
+//
+// What endpoints do not do by themselves is the sign of an older list: a process that drains or was removed does not
+// return, and an endpoint does not become one of its earlier processes. Such entries are not in force before
+// ReturnDelay. An endpoint that a list with such entries does not name may have been added since, and is kept until
+// AbsenceDelay. Everything else is in force at once, and after ReturnDelay the list of the new address as it is.
+//
+// It must be used by the goroutine of its Table only.
+type Handover struct {
+	table     *Table
+	phase     handoverPhase
+	absenceAt time.Duration    // clock time at which keepingAbsent ends
+	returnAt  time.Duration    // clock time at which keepingDraining ends; valid once listed is set
+	listed    map[string]Entry // what the new address lists, by endpoint id; nil: its list has not arrived
+}
+
+// NewHandover returns a Handover for a table. None is in progress.
+func NewHandover(table *Table) *Handover { return &Handover{table: table} }
+
+// Start starts a handover. Lists that are received from now on are those of the new address. In a handover that is in
+// progress, what the address before it has listed still comes into force when it is due, unless the new one has sent
+// its list by then.
+func (h *Handover) Start() {
+	now := h.now()
+	if h.phase != keepingAbsent || h.listed == nil {
+		h.absenceAt, h.listed = now+AbsenceDelay, nil
+	}
+	h.phase, h.returnAt = keepingAbsent, now+ReturnDelay
+}
+
+func (h *Handover) now() time.Duration { return h.table.clock.clock.Now() }
+
+// Next returns the clock time at which Advance is due, if a handover is in progress.
+func (h *Handover) Next() (at time.Duration, found bool) {
+	switch {
+	case h.phase == keepingAbsent:
+		return h.absenceAt, true
+	case h.phase == keepingDraining && h.listed != nil:
+		return h.returnAt, true
+	default:
+		return 0, false
+	}
+}
+
+// Advance ends the current phase if it is due. It returns the list that is to be applied then, if there is one.
+func (h *Handover) Advance() (list List, changed bool) {
+	if at, found := h.Next(); !found || h.now() < at {
+		return List{}, false
+	}
+	listed := h.listed
+	if h.phase == keepingAbsent {
+		h.phase = keepingDraining
+	} else {
+		h.phase, h.listed = noHandover, nil
+	}
+	if listed == nil {
+		return List{}, false
+	}
+	list, _ = h.reconcile(List{Complete: true, Entries: sortedEntries(listed)})
+	return list, true
+}
+
+// sortedEntries returns entries in the order of their ids, so that equal lists are applied in the same order.
+func sortedEntries(entries map[string]Entry) []Entry {
+	return slices.SortedFunc(maps.Values(entries), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Receive takes a list from discovery, and returns the list that is to be applied instead of it.
+func (h *Handover) Receive(update List) List {
+	if h.phase == noHandover {
+		return update
+	}
+	h.record(update)
+	reconciled, isOlder := h.reconcile(update)
+	if update.Complete && isOlder && h.phase == keepingAbsent {
+		reconciled.Entries = append(reconciled.Entries, h.absent()...)
+	}
+	return reconciled
+}
+
+// record applies a list to what the new address lists. Changes to a list that has not arrived are not recorded.
+func (h *Handover) record(update List) {
+	switch {
+	case update.Complete && h.listed == nil:
+		h.returnAt = h.now() + ReturnDelay
+		fallthrough
+	case update.Complete:
+		h.listed = map[string]Entry{}
+	case h.listed == nil:
+		return
+	}
+	for _, entry := range update.Entries {
+		if entry.State == balancer.Removed {
+			delete(h.listed, entry.ID)
+		} else {
+			h.listed[entry.ID] = entry
+		}
+	}
+}
+
+// reconcile returns a list without what is not in force yet, and reports whether there was any.
+func (h *Handover) reconcile(list List) (reconciled List, isOlder bool) {
+	if h.phase == noHandover {
+		return list, false
+	}
+	removed := h.table.removed.latestByID(h.now())
+	reconciled = List{Version: list.Version, Complete: list.Complete, Entries: make([]Entry, 0, len(list.Entries))}
+	for _, entry := range list.Entries {
+		previous, listed := h.table.entries[entry.ID]
+		bootMS, wasRemoved := removed[entry.ID]
+		switch {
+		case listed && (isEarlierProcess(entry, previous) || returns(entry, previous)):
+			reconciled.Entries = append(reconciled.Entries, previous)
+			isOlder = true
+		case !listed && wasRemoved && entry.State != balancer.Removed && entry.BootMS <= bootMS:
+			isOlder = true
+		default:
+			reconciled.Entries = append(reconciled.Entries, entry)
+		}
+	}
+	return reconciled, isOlder
+}
+
+// isEarlierProcess reports whether an entry is about an earlier process of an endpoint than the entry that the node
+// has. An endpoint that was removed may be listed without its start.
+func isEarlierProcess(entry, previous Entry) bool {
+	if entry.State == balancer.Removed && entry.BootMS == 0 {
+		return false
+	}
+	return entry.BootMS < previous.BootMS
+}
+
+// returns reports whether an entry names a process as ready that drains.
+func returns(entry, previous Entry) bool {
+	return entry.State == balancer.Ready && previous.State == balancer.Draining && entry.BootMS == previous.BootMS
+}
+
+// absent returns the entries of the node's list that the new address does not list.
+func (h *Handover) absent() []Entry {
+	absent := map[string]Entry{}
+	for id, entry := range h.table.entries {
+		if _, listed := h.listed[id]; !listed {
+			absent[id] = entry
+		}
+	}
+	return sortedEntries(absent)
+}
--- a/internal/endpointlist/parser.go
+++ b/internal/endpointlist/parser.go
@@ -1,7 +1,7 @@
 // Package endpointlist implements the endpoint list: List is the list as discovery sends it, with a parser, and Table
-// is the list as the node stores it, with the start times of the endpoints by the node's clock. The package does no I/O
-// of its own and starts no goroutine. A parsed List does not change, except that Table.SetStartTimes sets the start
-// times of its entries.
+// is the list as the node stores it, with the start times of the endpoints by the node's clock. Handover reconciles the
+// list of a new address of discovery with it. The package does no I/O of its own and starts no goroutine. A parsed List
+// does not change, except that Table.SetStartTimes sets the start times of its entries.
 package endpointlist
 
 import (
--- a/internal/endpointlist/table.go
+++ b/internal/endpointlist/table.go
@@ -12,6 +12,7 @@
 type Table struct {
 	entries map[string]Entry // by endpoint id
 	ready   int              // number of entries in state balancer.Ready
+	removed removals
 	clock   *bootClock
 }
 
@@ -37,8 +38,8 @@
 // Apply applies a complete list or changes to the list, and returns its entries as package balancer represents them.
 func (t *Table) Apply(update List) []balancer.Endpoint {
 	if update.Complete {
-		clear(t.entries)
-		t.ready = 0
+		defer t.recordAbsent(t.entries)
+		t.entries, t.ready = make(map[string]Entry, len(update.Entries)), 0
 	}
 	endpoints := make([]balancer.Endpoint, len(update.Entries))
 	for i, entry := range update.Entries {
@@ -48,12 +49,28 @@
 	return endpoints
 }
 
+// recordAbsent records the removal of the endpoints in earlier entries that are not listed any more.
+func (t *Table) recordAbsent(earlier map[string]Entry) {
+	for id, entry := range earlier {
+		if _, listed := t.entries[id]; !listed {
+			t.recordRemoval(entry)
+		}
+	}
+}
+
+// recordRemoval records that the process of an entry was removed.
+func (t *Table) recordRemoval(entry Entry) { t.removed.add(entry, t.clock.clock.Now()) }
+
 // applyEntry replaces an endpoint's entry and updates the number of ready endpoints.
 func (t *Table) applyEntry(entry Entry) {
-	if previous, listed := t.entries[entry.ID]; listed && previous.State == balancer.Ready {
+	previous, listed := t.entries[entry.ID]
+	if listed && previous.State == balancer.Ready {
 		t.ready--
 	}
 	if entry.State == balancer.Removed {
+		if listed {
+			t.recordRemoval(previous)
+		}
 		delete(t.entries, entry.ID)
 		return
 	}
--- a/internal/node/discoveryhandler.go
+++ b/internal/node/discoveryhandler.go
@@ -13,6 +13,9 @@
 // ListConfirmed posts that the endpoint list has not changed.
 func (h DiscoveryHandler) ListConfirmed() { h.Post(listConfirmed{}) }
 
+// AddressChanged posts that discovery is watched at another address.
+func (h DiscoveryHandler) AddressChanged() { h.Post(discoveryMoved{}) }
+
 // SubscriptionFailed posts that a poll of discovery has failed.
 func (h DiscoveryHandler) SubscriptionFailed() { h.Post(subscriptionFailed{}) }
 
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -47,6 +47,9 @@
 // listConfirmed reports that discovery has answered and the list has not changed.
 type listConfirmed struct{}
 
+// discoveryMoved reports that the lists that follow are those of another address of discovery.
+type discoveryMoved struct{}
+
 // subscriptionFailed reports that a poll of discovery has failed.
 type subscriptionFailed struct{}
 
@@ -69,6 +72,7 @@
 func (attemptEnded) String() string          { return "attempt ended" }
 func (listReceived) String() string          { return "list received" }
 func (listConfirmed) String() string         { return "list confirmed" }
+func (discoveryMoved) String() string        { return "discovery moved" }
 func (subscriptionFailed) String() string    { return "subscription failed" }
 func (discoveryUnresponsive) String() string { return "discovery unresponsive" }
 func (settingsChanged) String() string       { return "settings changed" }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -38,8 +38,9 @@
 	traffic trafficLog
 
 	endpoints   *endpointlist.Table
-	cachedList  endpointlist.List // last list that the node had before its start; dropped once listApplied
-	listApplied bool              // a list from discovery or the cached list has been applied
+	handover    *endpointlist.Handover // from one address of discovery to the next
+	cachedList  endpointlist.List      // last list that the node had before its start; dropped once listApplied
+	listApplied bool                   // a list from discovery or the cached list has been applied
 }
 
 // LoopHooks holds the functions with which a Loop carries out the module's decisions. The loop's goroutine calls them;
@@ -67,9 +68,10 @@
 }
 
 func newLoop(module *balancer.Balancer, clock monotime.Clock, log *slog.Logger) *Loop {
+	endpoints := endpointlist.NewTable(clock)
 	return &Loop{
 		clock: clock, balancer: module, events: make(chan Event, eventQueueCapacity),
-		pending: map[string]*pendingRequest{}, endpoints: endpointlist.NewTable(clock),
+		pending: map[string]*pendingRequest{}, endpoints: endpoints, handover: endpointlist.NewHandover(endpoints),
 		traffic: trafficLog{log: log, connectionStats: func() []any { return nil }},
 	}
 }
@@ -105,7 +107,8 @@
 	defer l.logTraffic()
 	for {
 		l.fireTimers()
-		if at, ok := l.timers.next(); ok {
+		l.advanceHandover()
+		if at, ok := l.nextWakeUp(); ok {
 			wakeUp.Reset(max(0, l.clock.Until(at)))
 		}
 		select {
@@ -120,6 +123,15 @@
 	}
 }
 
+// nextWakeUp returns the clock time at which the loop has something to do without an event, if there is one.
+func (l *Loop) nextWakeUp() (at time.Duration, ok bool) {
+	at, ok = l.timers.next()
+	if due, inProgress := l.handover.Next(); inProgress && (!ok || due < at) {
+		return due, true
+	}
+	return at, ok
+}
+
 // fireTimers passes the timers that are due to the module. It reads the clock again before each timer, because handling
 // the previous one takes time.
 func (l *Loop) fireTimers() {
@@ -158,9 +170,11 @@
 		if !e.list.Complete {
 			l.useCachedList() // the changes are relative to it
 		}
-		l.applyList(e.list, false)
+		l.applyList(l.handover.Receive(e.list), listFromDiscovery)
 	case listConfirmed:
 		l.endpoints.Confirm()
+	case discoveryMoved:
+		l.handover.Start()
 	case subscriptionFailed:
 		l.passToModule(l.clock.Now(), balancer.SubscriptionFailed{})
 	case discoveryUnresponsive:
@@ -174,23 +188,41 @@
 // has a list.
 func (l *Loop) useCachedList() {
 	if !l.listApplied {
-		l.applyList(l.cachedList, true)
+		l.applyList(l.cachedList, listFromCache)
 	}
 }
 
+// advanceHandover applies what the new address of discovery has listed and what is in force from now on.
+func (l *Loop) advanceHandover() {
+	if list, changed := l.handover.Advance(); changed {
+		l.applyList(list, listFromHandover)
+	}
+}
+
+// listSource is where a list comes from that is applied.
+type listSource int
+
+const (
+	listFromDiscovery listSource = iota // it has just arrived
+	listFromHandover                    // it has arrived some time ago
+	listFromCache                       // it was known before the start of the process
+)
+
 // applyList applies a complete list or changes to it, and passes it to the upstream pool and to the module. If lists
 // are pushed, a list that changes nothing is not passed on; one arrives when discovery has moved to another address.
 // The module treats every list as a change and selects its subset again, which would move requests to other endpoints
-// and open connections unnecessarily.
-func (l *Loop) applyList(update endpointlist.List, cached bool) {
+// and open connections unnecessarily. Where lists are polled, each list that arrives is an answer to a subscription.
+func (l *Loop) applyList(update endpointlist.List, source listSource) {
 	l.listApplied, l.cachedList = true, endpointlist.List{}
 	l.endpoints.SetStartTimes(update.Entries)
-	if !cached {
+	if source == listFromDiscovery {
 		defer l.endpoints.Confirm()
 	}
-	if !cached && l.listsPushed && l.endpoints.IsUnchangedBy(update) {
+	isAnswer := source == listFromDiscovery && !l.listsPushed
+	if source != listFromCache && !isAnswer && l.endpoints.IsUnchangedBy(update) {
 		return
 	}
+	cached := source == listFromCache
 	e := balancer.EndpointUpdate{Complete: update.Complete, Cached: cached, Endpoints: l.endpoints.Apply(update)}
 	l.hooks.UpdateEndpoints(update.Entries, update.Complete)
 	l.passToModule(l.clock.Now(), e)
