Let other goroutines run before a request that was sent ahead is answered

Cause: on the one core of the process a goroutine that waits for nothing runs for 10 ms, and that of a connection answers a whole batch in one go. A usual request needs several goroutines in turn, and waited behind all batches at each step.

Change: Conn.YieldIfPipelined. Before a request that net/http has not waited for, the goroutine yields four times. A client that sends one request at a time does not yield.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -38,6 +38,7 @@
 	requestStarted  bool // bytes of a request have been read since the last response
 	requestOpen     bool // a request's head has been read and its response has not started
 	requestComplete bool // the body of the open request has been read to its end
+	requestAwaited  bool // net/http has waited for the next request before any byte of it was read
 	readAhead       readAheadBuffer
 	watch           departureWatch
 	deadline        readDeadline
@@ -78,7 +79,7 @@
 	if err := c.cutOff(); err != nil {
 		return 0, err
 	}
-	c.startRequestTimeout()
+	c.startRead()
 	n, err := c.Conn.Read(p)
 	accepted := c.scan(p[:n])
 	c.recordReadResult(n, err)
@@ -164,15 +165,19 @@
 	c.readAhead.release()
 }
 
-// startRequestTimeout sets the read timeout for the rest of a request once it has started. The timeouts of net/http
-// are not suitable: it waits for a request's first four bytes as long as for an idle connection, and counts the time of
-// a connection's first request from the start of the connection.
-func (c *Conn) startRequestTimeout() {
+// startRead prepares a read of net/http. It sets the read timeout for the rest of a request once the request has
+// started. The timeouts of net/http are not suitable: it waits for a request's first four bytes as long as for an idle
+// connection, and counts the time of a connection's first request from the start of the connection.
+func (c *Conn) startRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readTimeout > 0 && c.requests.MidRequest() {
+	midRequest := c.requests.MidRequest()
+	if c.readTimeout > 0 && midRequest {
 		c.deadline.startRequest(c.readTimeout)
 	}
+	if !midRequest && !c.requests.HasPipelinedRequest() {
+		c.requestAwaited = true
+	}
 }
 
 // startRequest records that net/http has read a request's head.
--- /dev/null
+++ b/internal/downstream/yield.go
@@ -0,0 +1,32 @@
+package downstream
+
+import "runtime"
+
+// pipelinedYields is the number of times that a goroutine yields before it answers a request that was sent ahead.
+// Between two requests of such a client, other goroutines run as often as that.
+const pipelinedYields = 4
+
+// YieldIfPipelined lets other goroutines run first if the client has sent the request ahead that the handler is about
+// to answer. Each request calls it once.
+//
+// The process has one core, on which a goroutine that waits for nothing runs for up to 10 ms. While many clients send
+// batches of requests that are answered at once, the goroutines of other requests would wait behind a whole batch of
+// each of these clients, and do so several times for each request.
+func (c *Conn) YieldIfPipelined() {
+	if !c.takePipelined() {
+		return
+	}
+	for range pipelinedYields {
+		runtime.Gosched()
+	}
+}
+
+// takePipelined reports whether the request that was read last was sent ahead: net/http has not waited for it since the
+// request before it.
+func (c *Conn) takePipelined() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pipelined := !c.requestAwaited
+	c.requestAwaited = false
+	return pipelined
+}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -79,6 +79,7 @@
 	// the rest of the body.
 	w.Header().Set("Connection", "close")
 	conn := downstream.FromContext(r.Context())
+	conn.YieldIfPipelined()
 	head, err := conn.TakeHead(r)
 	if err != nil {
 		writeInvalid(w, err)
