Let a new discovery address count 4 s after SIGHUP, whenever its list arrives

What a new address told of processes that are in service again was in force 4 s after the arrival of its list, up to 8 s after SIGHUP. If an older list named only servers that drain or were removed, the node had no server to use from 3.5 s on until these could return. 3. A start that was long ago may be listed as 0. A process that the old address listed with its start and the new one with 0 was taken for an earlier one: a drain of it was not in force for 4 s. The other way round, a drain was taken back.

Cause: Handover counted from the arrival, ended the two phases independently of what was left, and compared starts as numbers.

Change: both times count from the start of the handover, and a list that arrives after it is in force as it is. Endpoints that an older list does not name are kept until the end if no other is ready. A start that is more than 30 s ago (removalMemory) equals 0.

Tests, all of which fail without the change: TestNewAddressIsInForceAfterTheHandover (now checks the moment before 4 s and 4 s itself for six arrivals; it allowed 7.5 s and more before), TestHandoverLeavesAnEndpointToUse, TestStartsOfLongAgoAreTheSame.

--- a/internal/endpointlist/boottime.go
+++ b/internal/endpointlist/boottime.go
@@ -82,6 +82,11 @@
 	return start
 }
 
+// isLongAgo reports whether a start was so long ago that it may be listed as 0.
+func (b *bootClock) isLongAgo(bootMS float64) bool {
+	return bootMS == 0 || b.clock.Now()-b.convert(bootMS) > removalMemory
+}
+
 // convert converts boot_ms by each of the offsets. It returns the latest clock time that is not in the future, or the
 // current one if there is none.
 func (b *bootClock) convert(bootMS float64) time.Duration {
--- a/internal/endpointlist/handover.go
+++ b/internal/endpointlist/handover.go
@@ -9,14 +9,14 @@
 	"basaltdrum/balancer"
 )
 
-// Durations of a handover.
+// Durations of a handover, from its start.
 const (
-	// ReturnDelay is how long, from the arrival of the new address's list, an endpoint that drains or was removed stays
-	// so although it is listed as ready. Whatever a new address has to tell counts as known to the node by then.
+	// ReturnDelay is how long an endpoint that drains or was removed stays so although it is listed as ready. Whatever
+	// a new address has to tell counts as known to the node by then, whenever its list arrives.
 	ReturnDelay = 4 * time.Second
 
-	// AbsenceDelay is how long, from the start, an endpoint is kept that an older list does not name. It is shorter, as
-	// such an endpoint must not be used any more once the list counts as known.
+	// AbsenceDelay is how long an endpoint is kept that an older list does not name, if others are ready by then. It is
+	// shorter, as such an endpoint must not be used any more once the list counts as known.
 	AbsenceDelay = ReturnDelay - 500*time.Millisecond
 )
 
@@ -35,14 +35,15 @@
 // What endpoints do not do by themselves is the sign of an older list: a process that drains or was removed does not
 // return, and an endpoint does not become one of its earlier processes. Such entries are not in force before
 // ReturnDelay. An endpoint that a list with such entries does not name may have been added since, and is kept until
-// AbsenceDelay. Everything else is in force at once, and after ReturnDelay the list of the new address as it is.
+// AbsenceDelay, or until ReturnDelay if no other is ready. Everything else is in force at once, and after ReturnDelay
+// the list of the new address as it is, also if it arrives only then.
 //
 // It must be used by the goroutine of its Table only.
 type Handover struct {
 	table     *Table
 	phase     handoverPhase
 	absenceAt time.Duration    // clock time at which keepingAbsent ends
-	returnAt  time.Duration    // clock time at which keepingDraining ends; valid once listed is set
+	returnAt  time.Duration    // clock time at which keepingDraining ends
 	listed    map[string]Entry // what the new address lists, by endpoint id; nil: its list has not arrived
 }
 
@@ -64,10 +65,10 @@
 
 // Next returns the clock time at which Advance is due, if a handover is in progress.
 func (h *Handover) Next() (at time.Duration, found bool) {
-	switch {
-	case h.phase == keepingAbsent:
+	switch h.phase {
+	case keepingAbsent:
 		return h.absenceAt, true
-	case h.phase == keepingDraining && h.listed != nil:
+	case keepingDraining:
 		return h.returnAt, true
 	default:
 		return 0, false
@@ -76,20 +77,23 @@
 
 // Advance ends the current phase if it is due. It returns the list that is to be applied then, if there is one.
 func (h *Handover) Advance() (list List, changed bool) {
-	if at, found := h.Next(); !found || h.now() < at {
+	now := h.now()
+	if at, found := h.Next(); !found || now < at {
 		return List{}, false
 	}
-	listed := h.listed
-	if h.phase == keepingAbsent {
-		h.phase = keepingDraining
-	} else {
+	listed := List{Complete: true, Entries: sortedEntries(h.listed)}
+	hasArrived := h.listed != nil
+	if now >= h.returnAt {
 		h.phase, h.listed = noHandover, nil
+		return listed, hasArrived
 	}
-	if listed == nil {
+	list, _ = h.reconcile(listed)
+	if hasArrived && !list.hasReady() {
+		h.absenceAt = h.returnAt // until then there would be no endpoint to use
 		return List{}, false
 	}
-	list, _ = h.reconcile(List{Complete: true, Entries: sortedEntries(listed)})
-	return list, true
+	h.phase = keepingDraining
+	return list, hasArrived
 }
 
 // sortedEntries returns entries in the order of their ids, so that equal lists are applied in the same order.
@@ -113,9 +117,6 @@
 // record applies a list to what the new address lists. Changes to a list that has not arrived are not recorded.
 func (h *Handover) record(update List) {
 	switch {
-	case update.Complete && h.listed == nil:
-		h.returnAt = h.now() + ReturnDelay
-		fallthrough
 	case update.Complete:
 		h.listed = map[string]Entry{}
 	case h.listed == nil:
@@ -132,19 +133,16 @@
 
 // reconcile returns a list without what is not in force yet, and reports whether there was any.
 func (h *Handover) reconcile(list List) (reconciled List, isOlder bool) {
-	if h.phase == noHandover {
-		return list, false
-	}
 	removed := h.table.removed.latestByID(h.now())
 	reconciled = List{Version: list.Version, Complete: list.Complete, Entries: make([]Entry, 0, len(list.Entries))}
 	for _, entry := range list.Entries {
 		previous, listed := h.table.entries[entry.ID]
 		bootMS, wasRemoved := removed[entry.ID]
 		switch {
-		case listed && (isEarlierProcess(entry, previous) || returns(entry, previous)):
+		case listed && (h.isEarlierProcess(entry, previous) || h.returns(entry, previous)):
 			reconciled.Entries = append(reconciled.Entries, previous)
 			isOlder = true
-		case !listed && wasRemoved && entry.State != balancer.Removed && entry.BootMS <= bootMS:
+		case !listed && wasRemoved && entry.State != balancer.Removed && !h.startedAfter(entry.BootMS, bootMS):
 			isOlder = true
 		default:
 			reconciled.Entries = append(reconciled.Entries, entry)
@@ -155,16 +153,26 @@
 
 // isEarlierProcess reports whether an entry is about an earlier process of an endpoint than the entry that the node
 // has. An endpoint that was removed may be listed without its start.
-func isEarlierProcess(entry, previous Entry) bool {
+func (h *Handover) isEarlierProcess(entry, previous Entry) bool {
 	if entry.State == balancer.Removed && entry.BootMS == 0 {
 		return false
 	}
-	return entry.BootMS < previous.BootMS
+	return h.startedAfter(previous.BootMS, entry.BootMS)
 }
 
 // returns reports whether an entry names a process as ready that drains.
-func returns(entry, previous Entry) bool {
-	return entry.State == balancer.Ready && previous.State == balancer.Draining && entry.BootMS == previous.BootMS
+func (h *Handover) returns(entry, previous Entry) bool {
+	return entry.State == balancer.Ready && previous.State == balancer.Draining &&
+		!h.startedAfter(entry.BootMS, previous.BootMS)
+}
+
+// startedAfter reports whether the process that is listed with one start has started after the process that is listed
+// with another one. A start that was long ago may be listed as 0 at one address and not at another.
+func (h *Handover) startedAfter(bootMS, otherBootMS float64) bool {
+	if otherBootMS == 0 && h.table.clock.isLongAgo(bootMS) {
+		return false
+	}
+	return bootMS > otherBootMS
 }
 
 // absent returns the entries of the node's list that the new address does not list.
--- a/internal/endpointlist/handover_test.go
+++ b/internal/endpointlist/handover_test.go
@@ -103,10 +103,12 @@
 	}
 }
 
-// Whatever the new address has to tell is in force 4 s after its list has arrived, and what it removes 4 s after the
-// start of the handover, however it numbers its lists.
+// Whatever the new address has to tell is in force 4 s after the start of the handover, whenever its list arrives and
+// however it numbers its lists. What it removes is removed half a second earlier.
 func TestNewAddressIsInForceAfterTheHandover(t *testing.T) {
-	for _, arrival := range []time.Duration{0, time.Second, 10 * time.Second} {
+	for _, arrival := range []time.Duration{
+		0, time.Second, AbsenceDelay, ReturnDelay - 1, ReturnDelay, 10 * time.Second,
+	} {
 		h := newHandoverTest()
 		h.receive(true, ready("s1"), draining("s2"), ready("s3"))
 		h.receive(false, removed("s3"))
@@ -118,9 +120,13 @@
 			h.expect(t, when, "s1", "s2-", "s4")
 			h.advance(AbsenceDelay - arrival)
 		}
-		h.expect(t, when+", 3.5 s", "s2-", "s4")
-		h.advance(ReturnDelay)
-		h.expect(t, when+", later", "s2", "s3", "s4")
+		if arrival < ReturnDelay {
+			h.expect(t, when+", 3.5 s", "s2-", "s4")
+			h.advance(ReturnDelay - 1 - max(arrival, AbsenceDelay))
+			h.expect(t, when+", just before 4 s", "s2-", "s4")
+			h.advance(1)
+		}
+		h.expect(t, when+", 4 s", "s2", "s3", "s4")
 		if _, found := h.Next(); found {
 			t.Errorf("%s: another phase is due, want the handover ended", when)
 		}
@@ -130,6 +136,40 @@
 	}
 }
 
+// There is always an endpoint to use if the older list names only such as drain or were removed: those that it does not
+// name are kept until those that it names may return.
+func TestHandoverLeavesAnEndpointToUse(t *testing.T) {
+	h := newHandoverTest()
+	h.receive(true, draining("s1"), ready("s2"), ready("s3"))
+	h.receive(false, removed("s2"))
+	h.Start()
+	h.receive(true, ready("s1"), ready("s2"))
+	h.expect(t, "an older list", "s1-", "s3")
+	h.advance(ReturnDelay - 1)
+	h.expect(t, "just before 4 s", "s1-", "s3")
+	h.advance(1)
+	h.expect(t, "4 s", "s1", "s2")
+}
+
+// A start that was long ago may be listed as 0 at one address and not at another: it is the same process. A drain that
+// the new address tells of it is in force at once, and a ready process is no restarted one.
+func TestStartsOfLongAgoAreTheSame(t *testing.T) {
+	h := newHandoverTest()
+	longAgo := float64(h.machine.BootMS())
+	h.advance(removalMemory + time.Second)
+	recently := float64(h.machine.BootMS())
+	h.receive(true, bootedAt(ready("s1"), longAgo), ready("s2"), bootedAt(draining("s3"), longAgo), draining("s4"),
+		bootedAt(ready("s5"), recently), draining("s6"), ready("s7"), ready("s8"))
+	h.receive(false, removed("s7"), removed("s8"))
+	h.Start()
+	h.receive(true, draining("s1"), bootedAt(draining("s2"), longAgo), ready("s3"), bootedAt(ready("s4"), longAgo),
+		draining("s5"), bootedAt(ready("s6"), recently), bootedAt(ready("s7"), longAgo),
+		bootedAt(ready("s8"), recently))
+	h.expect(t, "the new address", "s1-", "s2-", "s3-", "s4-", "s5", "s6", "s8")
+	h.advance(ReturnDelay)
+	h.expect(t, "4 s", "s1-", "s2-", "s3", "s4", "s5-", "s6", "s7", "s8")
+}
+
 // A list of the new address that is not older is in force at once, and so is what an older one adds or drains.
 func TestListsAreInForceAtOnceInAHandover(t *testing.T) {
 	h := newHandoverTest()
@@ -140,7 +180,7 @@
 	h.expect(t, "a list without s2 and s3", "s1-", "s4")
 	h.receive(false, removed("s1"), draining("s4"), bootedAt(ready("s5"), 1))
 	h.expect(t, "changes", "s4-", "s5")
-	h.receive(false, bootedAt(ready("s4"), 7), removed("s5"))
+	h.receive(false, bootedAt(ready("s4"), float64(h.machine.BootMS())), removed("s5"))
 	h.expect(t, "a restart, and a removal that does not name the start", "s4")
 
 	h = newHandoverTest()
--- a/internal/endpointlist/parser.go
+++ b/internal/endpointlist/parser.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"basaltdrum/balancer"
@@ -23,6 +24,11 @@
 	Entries  []Entry
 }
 
+// hasReady reports whether a listed endpoint is ready.
+func (l List) hasReady() bool {
+	return slices.ContainsFunc(l.Entries, func(entry Entry) bool { return entry.State == balancer.Ready })
+}
+
 // Entry is an entry of a list: the endpoint as package balancer represents it, with its address and its start.
 type Entry struct {
 	balancer.Endpoint // its StartedAt is set by Table.SetStartTimes
