Let goroutines of accepted connections run before many more are accepted

Cause: on the one core of the process the goroutine that accepts runs on while connections are queued in the kernel, for 10 ms. The goroutines of accepted connections, which would see their clients' closes, wait. Hundreds of connections whose clients had gone counted as open, and what was accepted next was closed unread.

Change: Conns counts the accepted connections whose goroutine has not run yet. At 32 of them the listener yields before it accepts another one, until there are fewer, eight times at most.

Test: TestAcceptedConnectionsAreServedBeforeMoreAreAccepted, on one core.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -38,6 +38,7 @@
 	requestStarted  bool // bytes of a request have been read since the last response
 	requestOpen     bool // a request's head has been read and its response has not started
 	requestComplete bool // the body of the open request has been read to its end
+	served          bool // its goroutine has started to read, or the socket is closed
 	requestAwaited  bool // net/http has waited for the next request before any byte of it was read
 	readAhead       readAheadBuffer
 	watch           departureWatch
@@ -47,6 +48,7 @@
 // newConn wraps the socket nc of a connection that belongs to conns. readTimeout limits the time for reading the rest
 // of a request that has started; 0 means no limit.
 func newConn(nc net.Conn, conns *Conns, readTimeout time.Duration) *Conn {
+	conns.unserved.Add(1)
 	return &Conn{
 		Conn: nc, conns: conns, readTimeout: readTimeout, lingerEvicted: make(chan struct{}),
 		readAhead: readAheadBuffer{budget: &conns.readAheadBudget}, deadline: readDeadline{conn: nc},
@@ -171,6 +173,7 @@
 func (c *Conn) startRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.markServed()
 	midRequest := c.requests.MidRequest()
 	if c.readTimeout > 0 && midRequest {
 		c.deadline.startRequest(c.readTimeout)
@@ -317,10 +320,11 @@
 	return err
 }
 
-// markClosed ends the count of the connection's incomplete head.
+// markClosed ends the counts of the connection in its set that do not depend on its phase.
 func (c *Conn) markClosed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	c.markServed()
 	c.countIncompleteHead()
 }
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"basaltdrum/internal/monotime"
@@ -19,6 +20,7 @@
 
 	readAheadBudget readAheadBudget  // not guarded by mu
 	headMemory      headMemoryBudget // not guarded by mu
+	unserved        atomic.Int32     // accepted connections whose goroutine has not run yet
 
 	mu     sync.Mutex
 	budget descriptorBudget
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -80,6 +80,7 @@
 			// fails, that deadline still holds and ends the loop.
 			_ = l.Listener.(deadlineSetter).SetDeadline(time.Now().Add(emptyQueueWait))
 		}
+		l.yieldToAccepted()
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil && l.conns.atHardLimit():
--- a/internal/downstream/yield.go
+++ b/internal/downstream/yield.go
@@ -2,6 +2,15 @@
 
 import "runtime"
 
+const (
+	// maxUnserved is the number of accepted connections whose goroutine has not run yet, at which the listener yields
+	// before it accepts another one.
+	maxUnserved = 32
+
+	// maxAcceptYields is how often it yields at most. All goroutines that are ready run after one or two times.
+	maxAcceptYields = 8
+)
+
 // pipelinedYields is the number of times that a goroutine yields before it answers a request that was sent ahead.
 // Between two requests of such a client, other goroutines run as often as that.
 const pipelinedYields = 4
@@ -30,3 +39,25 @@
 	c.requestAwaited = false
 	return pipelined
 }
+
+// yieldToAccepted lets the goroutines of accepted connections run before more are accepted, if many have not run yet.
+//
+// For the same reason as in YieldIfPipelined, the goroutine that accepts would run on while connections are queued in
+// the kernel, and hundreds would pile up that count as open although their clients may have gone. What is accepted next
+// would be closed unread, for lack of descriptors.
+func (l *Listener) yieldToAccepted() {
+	for range maxAcceptYields {
+		if l.conns.unserved.Load() < maxUnserved {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+// markServed records that the goroutine of the connection has run. The caller holds c.mu.
+func (c *Conn) markServed() {
+	if !c.served {
+		c.served = true
+		c.conns.unserved.Add(-1)
+	}
+}
--- a/internal/downstream/yield_test.go
+++ b/internal/downstream/yield_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
+
+	"basaltdrum/internal/testutil"
 )
 
 // Only a request that net/http has not waited for counts as sent ahead. A client that sends one request at a time never
@@ -44,3 +50,46 @@
 		}
 	}
 }
+
+// readyListener always has a connection to accept.
+type readyListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l readyListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// The goroutines of accepted connections run before many more are accepted. On one core the accepting goroutine outran
+// them while clients connected, sent half a request and closed again and again: the descriptors were taken by
+// connections whose clients had gone, and those of usual clients were closed unread.
+func TestAcceptedConnectionsAreServedBeforeMoreAreAccepted(t *testing.T) {
+	previous := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(previous) })
+	node, client := net.Pipe()
+	client.Close()
+	conns := newTestConns(testLimits(100), 0)
+	listener := NewListener(readyListener{conn: node}, conns, 0, testutil.DiscardLog())
+	var waiting, most atomic.Int32
+	var served sync.WaitGroup
+	for range 1000 {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		most.Store(max(most.Load(), waiting.Add(1)))
+		served.Add(1)
+		go func() {
+			defer served.Done()
+			waiting.Add(-1)
+			conn.Read(make([]byte, 100))
+			conn.Close()
+		}()
+	}
+	served.Wait()
+	if got := most.Load(); got > maxUnserved {
+		t.Errorf("the goroutines of %d connections had not run at the same time, want at most %d", got, maxUnserved)
+	}
+	if got := conns.unserved.Load(); got != 0 {
+		t.Errorf("%d connections count as not served, want none", got)
+	}
+}
