Move the parser of X-Deadline to the package that parses requests

The scanner of the framing is to read the deadlines of requests that are sent ahead, which the front end parsed alone. No change of behaviour: the same values are accepted, with the same errors. The limit of X-Cost-Hint, which shared the constant, has one of its own.

--- a/internal/node/requestvalidation.go
+++ b/internal/node/requestvalidation.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"math"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,8 +15,8 @@
 	// maxRequestIDBytes is the maximum length of X-Request-Id, in bytes.
 	maxRequestIDBytes = 128
 
-	// maxDeadline is the maximum value of X-Deadline and X-Cost-Hint.
-	maxDeadline = time.Hour
+	// maxWorkHint is the maximum value of X-Cost-Hint.
+	maxWorkHint = time.Hour
 
 	// maxDeadlineFactor limits X-Deadline to this multiple of the deadline of the request's class.
 	maxDeadlineFactor = 2
@@ -48,8 +48,8 @@
 	errKeyMismatchesClass    = newHeadError(http.StatusBadRequest, "Idempotency-Key does not fit the class")
 	errInvalidRequestID      = newHeadError(http.StatusBadRequest, "X-Request-Id is missing, too long, or comes twice")
 	errDeadlineMissing       = newHeadError(http.StatusBadRequest, "X-Deadline is missing or comes twice")
-	errDeadlineMalformed     = newHeadError(http.StatusBadRequest, "X-Deadline is no plain number")
-	errDeadlineOutOfRange    = newHeadError(http.StatusBadRequest, "X-Deadline is no number or out of range")
+	errDeadlineMalformed     = newHeadError(http.StatusBadRequest, http1.ErrDeadlineMalformed.Error())
+	errDeadlineOutOfRange    = newHeadError(http.StatusBadRequest, http1.ErrDeadlineOutOfRange.Error())
 	errDeadlineExceedsClass  = newHeadError(http.StatusBadRequest, "X-Deadline is far beyond the class's")
 	errBodyTooLong           = newBodyError(http.StatusRequestEntityTooLarge, "the body is too long")
 	errBodyIncomplete        = newBodyError(http.StatusBadRequest, "the body is not complete")
@@ -137,27 +137,26 @@
 	return nil
 }
 
-// parseDeadline parses the values of X-Deadline: a single one, in seconds, in decimal digits with an optional fraction.
-// The other forms that strconv accepts (signs, exponents, hexadecimal, underscores) are rejected.
+// parseDeadline parses the values of X-Deadline: a single one.
 func parseDeadline(values []string) (time.Duration, error) {
 	if len(values) != 1 {
 		return 0, errDeadlineMissing
 	}
-	if strings.Trim(values[0], "0123456789.") != "" {
+	wait, err := http1.ParseDeadline(values[0])
+	switch {
+	case errors.Is(err, http1.ErrDeadlineMalformed):
 		return 0, errDeadlineMalformed
-	}
-	seconds, err := strconv.ParseFloat(values[0], 64)
-	if err != nil || !(seconds > 0 && seconds <= maxDeadline.Seconds()) {
+	case err != nil:
 		return 0, errDeadlineOutOfRange
 	}
-	return time.Duration(math.Round(seconds * 1e9)), nil
+	return wait, nil
 }
 
 // parseWorkHint parses X-Cost-Hint, in microseconds. The hint is optional: a malformed one counts as none (0) and does
 // not make the request invalid.
 func parseWorkHint(text string) time.Duration {
 	us, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(us > 0 && us <= float64(maxDeadline.Microseconds())) {
+	if err != nil || !(us > 0 && us <= float64(maxWorkHint.Microseconds())) {
 		return 0
 	}
 	return time.Duration(us * 1e3)
