Answer a request in time for the one that its client has sent behind it

What callers saw: a client sent nine requests with an X-Deadline of 6 s and one with 1.5 s at once.

Cause: the requests of a connection are handled one after another, and nothing looked at the deadlines of those that were read ahead. Evidence: behind a request with 120 s whose server never responds, one with 0.1 s was not answered in 60 s.

Change: the scanner of the framing reads X-Deadline. 250 ms after the earliest deadline of the requests that were sent ahead, the response to the open one is due: the front end asks the loop for it, and the module answers it as at a shutdown (event ResponseDue). Requests whose response is due already are rejected without an attempt. Half a second after its deadline a response counts as lost; before that it only earns nothing, so the one ahead gets most of that time.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -76,6 +76,8 @@
 		b.startStream(e)
 	case ClientGone:
 		b.abandon(e)
+	case ResponseDue:
+		b.answerNow(e)
 	case Shutdown:
 		b.shutdown()
 	case Reconfigure:
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -100,6 +100,9 @@
 	}
 	// ClientGone reports that the client has disconnected and needs no response.
 	ClientGone struct{ ID string }
+	// ResponseDue reports that the client needs the response now, as the response to a later request waits
+	// behind it: the request is answered at once.
+	ResponseDue struct{ ID string }
 	// Shutdown reports that the host stops: pending requests and any that still arrive are answered at once.
 	Shutdown struct{}
 	// Reconfigure replaces the settings; invalid settings change nothing. Requests already accepted keep
@@ -116,6 +119,7 @@
 func (AttemptEnded) event()       {}
 func (StreamStarted) event()      {}
 func (ClientGone) event()         {}
+func (ResponseDue) event()        {}
 func (Shutdown) event()           {}
 func (Reconfigure) event()        {}
 func (Timer) event()              {}
--- a/balancer/request_test.go
+++ b/balancer/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -52,3 +53,35 @@
 		})
 	}
 }
+
+// A request whose response is due is answered at once, and only once: with a rejection where a retry is harmless,
+// otherwise with a failure. Its attempt in flight is cancelled.
+func TestRequestIsAnsweredWhenItsResponseIsDue(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		queued bool
+		want   []Action
+	}{
+		{"get", false, []Action{Reject{ID: "r"}, Cancel{ID: "r"}}},
+		{"pay", false, []Action{Fail{ID: "r"}, Cancel{ID: "r"}}},
+		{"pay", true, []Action{Reject{ID: "r"}}},
+	} {
+		b := newBalancer(t, nil)
+		if !c.queued {
+			b.Handle(0, EndpointUpdate{Complete: true, Endpoints: testEndpoints(3)})
+		}
+		b.Handle(time.Second, Request{ID: "r", Class: c.class, Deadline: 100 * time.Second})
+		got := b.Handle(2*time.Second, ResponseDue{ID: "r"})
+		for i, action := range got {
+			if reject, ok := action.(Reject); ok {
+				got[i] = Reject{ID: reject.ID}
+			}
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%+v: got the actions %+v", c, got)
+		}
+		if again := b.Handle(3*time.Second, ResponseDue{ID: "r"}); len(again) > 0 {
+			t.Errorf("%+v: got the actions %+v when its response was due again, want none", c, again)
+		}
+	}
+}
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -236,6 +236,13 @@
 	}
 }
 
+// answerNow answers a request whose response is due before its deadline.
+func (b *Balancer) answerNow(e ResponseDue) {
+	if req := b.requests[e.ID]; req != nil {
+		b.rejectOrFail(req)
+	}
+}
+
 // shutdown answers all requests, sorted by ID so that the order is deterministic.
 func (b *Balancer) shutdown() {
 	b.shuttingDown = true
--- a/balancer/rules_test.go
+++ b/balancer/rules_test.go
@@ -151,12 +151,24 @@
 		r.handle(Timer{Token: "r:nobody"})
 		r.handle(Timer{Token: "x"})
 		r.handle(ClientGone{ID: "nobody"})
+		r.handle(ResponseDue{ID: "nobody"})
 	}
 	if r.rng.IntN(50) == 0 && len(r.ids) > 0 {
 		id := r.ids[r.rng.IntN(len(r.ids))]
 		r.handle(ClientGone{ID: id})
 		r.ended[id] = true
 	}
+	if r.rng.IntN(50) == 0 && len(r.ids) > 0 {
+		r.answerNow(r.ids[r.rng.IntN(len(r.ids))])
+	}
+}
+
+// answerNow reports that the response to a request is due, and checks that it has one then.
+func (r *randomRun) answerNow(id string) {
+	r.handle(ResponseDue{ID: id})
+	if request := r.balancer.requests[id]; request != nil && !request.answered {
+		r.t.Errorf("%s has no final response although it is due", id)
+	}
 }
 
 // kill replaces the Balancer by a new instance without state. Half of the time it is shut down first, as on a
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -153,6 +153,14 @@
 	return c.requests.HasPipelinedRequest()
 }
 
+// PipelinedDeadline returns the earliest deadline of the requests that the client has sent ahead and whose heads have
+// been read, as a clock time, if one of them has a deadline.
+func (c *Conn) PipelinedDeadline() (at time.Duration, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests.PipelinedDeadline()
+}
+
 // takeReadAhead moves bytes that were read ahead into p and returns their number.
 func (c *Conn) takeReadAhead(p []byte) int {
 	c.mu.Lock()
--- a/internal/downstream/departure.go
+++ b/internal/downstream/departure.go
@@ -47,6 +47,7 @@
 	caughtUp  chan struct{} // closed once the watch has read everything that had arrived
 	ended     chan struct{} // closed once the watch has ended
 	changed   chan struct{} // receives a value when departure changes
+	readAhead chan struct{} // receives a value when bytes have been read ahead
 }
 
 // start prepares the watch of the next request. The departure observed so far still holds, except Unobservable, as the
@@ -54,7 +55,7 @@
 func (w *departureWatch) start() {
 	w.caughtUp, w.ended = make(chan struct{}), make(chan struct{})
 	if w.changed == nil {
-		w.changed = make(chan struct{}, 1)
+		w.changed, w.readAhead = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
 	if w.departure == Unobservable {
 		w.departure = Present
@@ -67,8 +68,13 @@
 		return
 	}
 	w.departure = observed
+	notify(w.changed)
+}
+
+// notify sends a value on a channel with a buffer of one, unless the previous one has not been received.
+func notify(c chan<- struct{}) {
 	select {
-	case w.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -127,6 +133,7 @@
 	defer c.mu.Unlock()
 	c.readAhead.extend(n)
 	c.readAhead.withhold(withheld)
+	notify(c.watch.readAhead)
 }
 
 // awaitUnread waits until the kernel has received something from the client: bytes, a FIN or an RST. If there is
@@ -210,6 +217,9 @@
 // DepartureChanged returns a channel that receives a value when the client's departure, as observed, increases.
 func (c *Conn) DepartureChanged() <-chan struct{} { return c.watch.changed }
 
+// BytesReadAhead returns a channel that receives a value when the watch has read bytes ahead.
+func (c *Conn) BytesReadAhead() <-chan struct{} { return c.watch.readAhead }
+
 // recordDeparture records an observation. If it is greater than the departure so far, the handler of the open request
 // is notified.
 func (c *Conn) recordDeparture(observed Departure) {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -20,6 +20,7 @@
 // RequestHead describes one request whose head the scanner has parsed completely.
 type RequestHead struct {
 	FirstByte  time.Duration // clock time when its first byte was read
+	wait       time.Duration // how long the client waits for the response, from the first byte; 0: not known
 	lineHash   uint64        // hash of the request line
 	bodyLength int64         // in bytes, or chunkedLength
 }
@@ -48,7 +49,7 @@
 }
 
 // headScanner parses the head of one request line by line (RFC 9112, sections 2 to 6). It parses only what the framing
-// of the body depends on.
+// of the body depends on, and the deadline.
 type headScanner struct {
 	current       RequestHead
 	inFields      bool // the request line has been parsed
@@ -124,6 +125,8 @@
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		h.previousField = fieldFraming
 		return h.parseTransferEncoding(value, truncated)
+	case bytes.EqualFold(name, []byte("X-Deadline")):
+		h.current.wait, _ = ParseDeadline(string(value)) // what is malformed is rejected later
 	}
 	h.previousField = fieldOther
 	return nil
--- a/internal/http1/scanner.go
+++ b/internal/http1/scanner.go
@@ -48,10 +48,11 @@
 // RequestScanner follows the framing of the requests on one downstream connection (RFC 9112, sections 2, 6 and 7).
 // It is fed every byte as it is read from the kernel. The zero value is a scanner at a connection's start.
 //
-// It records what net/http does not report: when the first byte of each request was read, pipelined ones included,
-// and whether a request has both Content-Length and Transfer-Encoding, where net/http drops the former. It is at least
-// as strict as net/http. What it rejects has to be answered with an error that closes the connection, so that no
-// request can be smuggled in the body of another. After an error it stops scanning.
+// It records what net/http does not report: when the first byte of each request was read, pipelined ones included, the
+// deadlines of requests that net/http has not read yet, and whether a request has both Content-Length and
+// Transfer-Encoding, where net/http drops the former. It is at least as strict as net/http. What it rejects has to be
+// answered with an error that closes the connection, so that no request can be smuggled in the body of another. After
+// an error it stops scanning.
 //
 // It also limits the lines of each head and of trailers, which net/http would hold without a limit: net/http must get
 // only the bytes that Feed accepts.
@@ -165,6 +166,17 @@
 	return len(s.heads) > 0 || s.err == nil && s.position == inHead
 }
 
+// PipelinedDeadline returns the earliest deadline of the requests whose heads have been read completely after that of
+// the request whose head was taken last, as a clock time, if one of them has a deadline.
+func (s *RequestScanner) PipelinedDeadline() (at time.Duration, found bool) {
+	for _, head := range s.heads {
+		if deadline := head.FirstByte + head.wait; head.wait > 0 && (!found || deadline < at) {
+			at, found = deadline, true
+		}
+	}
+	return at, found
+}
+
 // fail stops the scan. An error in a head keeps the head out of heads, and net/http may read the rest of the head; an
 // error in a body follows its complete head, and cuts the connection off.
 func (s *RequestScanner) fail(err error) {
--- a/internal/http1/scanner_test.go
+++ b/internal/http1/scanner_test.go
@@ -220,3 +220,40 @@
 		t.Errorf("between requests, a buffer of %d bytes is held; want none, and no request in progress", cap(s.line))
 	}
 }
+
+// The earliest deadline counts of the requests whose heads are complete and which net/http has not read. What is no
+// deadline counts as none.
+func TestScannerFindsTheEarliestPipelinedDeadline(t *testing.T) {
+	const start = time.Minute // clock time of all bytes
+	request := func(deadline string) string {
+		return "POST /a HTTP/1.1\r\nContent-Length: 4\r\nx-dEADLINE:" + deadline + "\r\n\r\nbody"
+	}
+	for _, c := range []struct {
+		name, text string
+		want       time.Duration // from start; 0: none
+	}{
+		{"no request", "", 0},
+		{"one request", request(" 1.5 "), 1500 * time.Millisecond},
+		{"the last one", request("6") + request("7") + request("0.25"), 250 * time.Millisecond},
+		{"the one in the middle", request("6") + request("1") + request("7"), time.Second},
+		{"beside one without a deadline", "GET / HTTP/1.1\r\n\r\n" + request("2"), 2 * time.Second},
+		{"beside invalid ones", request("-1") + request("0") + request("1e-3") + request("3"), 3 * time.Second},
+		{"only invalid ones", request("-1") + request(""), 0},
+		{"an incomplete head", request("6") + "GET / HTTP/1.1\r\nX-Deadline: 1\r\n", 6 * time.Second},
+		{"an incomplete body", request("6") + strings.TrimSuffix(request("1"), "dy"), time.Second},
+	} {
+		scanner := &RequestScanner{}
+		scanner.Feed([]byte(c.text), start)
+		at, found := scanner.PipelinedDeadline()
+		if found != (c.want > 0) || found && at != start+c.want {
+			t.Errorf("%s: got %v, %v; want %v after the start", c.name, at, found, c.want)
+		}
+	}
+	scanner := scan(request("1")+request("2"), 0)
+	for _, want := range []time.Duration{time.Second, 2 * time.Second} {
+		if at, found := scanner.PipelinedDeadline(); at != want || !found {
+			t.Errorf("got %v, %v, want %v", at, found, want)
+		}
+		scanner.heads = scanner.heads[1:]
+	}
+}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -35,6 +35,13 @@
 	retryAfter time.Duration // Retry-After of the response if the request is rejected
 }
 
+// responseDue reports that a request must be answered although its deadline has not passed, because the response to
+// another one that its client has sent ahead waits for it.
+type responseDue struct {
+	request *request
+	at      time.Duration // clock time when it was noticed
+}
+
 // attemptEnded carries the outcome of an attempt. It is posted once for each attempt that was started.
 type attemptEnded struct {
 	attempt *Attempt
@@ -69,6 +76,7 @@
 
 func (requestReceived) String() string       { return "request received" }
 func (clientDeparted) String() string        { return "client departed" }
+func (responseDue) String() string           { return "response due" }
 func (attemptEnded) String() string          { return "attempt ended" }
 func (listReceived) String() string          { return "list received" }
 func (listConfirmed) String() string         { return "list confirmed" }
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -101,13 +101,16 @@
 	}
 	defer req.Memory.Release()
 	// If the client has departed, or its departure could not be detected, no attempt may start: its pipelined requests
-	// are rejected one after another. A client that has only half-closed its connection may read the responses.
-	if conn.AwaitCaughtUp() != downstream.Present || !f.conns.AdmitRequest(conn) {
+	// are rejected one after another. A client that has only half-closed its connection may read the responses. Neither
+	// may one start if the response to a pipelined request is due, which waits for this one.
+	due := newDueTimer(f.clock, conn)
+	defer due.stop()
+	if conn.AwaitCaughtUp() != downstream.Present || due.hasPassed() || !f.conns.AdmitRequest(conn) {
 		f.reject(w, conn)
 		return
 	}
 	f.post(requestReceived{req})
-	response, connected := f.awaitResponse(conn, req, r.ProtoAtLeast(1, 1))
+	response, connected := f.awaitResponse(conn, req, due, r.ProtoAtLeast(1, 1))
 	if !connected {
 		w.Header().Set("Connection", "close")
 		response.Kind = ResponseFailed // without a response, net/http would send status 200
@@ -118,14 +121,21 @@
 // awaitResponse waits for the response to a request. connected is false if the client has disconnected first, so that
 // nobody reads a response. A departure is marked in the request before the loop is notified, because an attempt's
 // connection to an endpoint may be established at the same time, and the attempt must not be written any more.
-// interimAllowed is true if the client accepts interim responses.
+// interimAllowed is true if the client accepts interim responses. Once due has passed, the loop is asked for the
+// response.
 func (f *frontend) awaitResponse(
-	conn *downstream.Conn, req *request, interimAllowed bool,
+	conn *downstream.Conn, req *request, due *dueTimer, interimAllowed bool,
 ) (response Response, connected bool) {
 	for notified := downstream.Present; ; {
 		select {
 		case response := <-req.response:
 			return response, true
+		case <-due.update():
+			f.post(responseDue{request: req, at: f.clock.Now()})
+			due.stop()
+			continue
+		case <-conn.BytesReadAhead():
+			continue
 		case <-conn.DepartureChanged():
 		}
 		departure := conn.Departure()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -149,6 +149,8 @@
 		l.handleRequest(e.request)
 	case clientDeparted:
 		l.handleDeparture(e)
+	case responseDue:
+		l.answerNow(e)
 	case attemptEnded:
 		l.endAttempt(e.attempt, e.result)
 	case settingsChanged:
@@ -214,6 +216,20 @@
 	}
 }
 
+// answerNow answers a request whose response is due before its deadline. The module decides no response for a client
+// that has departed.
+func (l *Loop) answerNow(e responseDue) {
+	l.recordLag(e.at)
+	p := l.pending[e.request.ID]
+	switch {
+	case p == nil || p.request != e.request || p.answered:
+	case p.hasDeparted():
+		l.respondUnserved(p, p.departedResponse())
+	default:
+		l.passToModule(e.at, balancer.ResponseDue{ID: e.request.ID})
+	}
+}
+
 // answerAll answers every pending request at the end of draining. The module considers the requests of departed clients
 // answered and returns no actions for them, so they are answered here.
 func (l *Loop) answerAll() {
