Wait for a descriptor before a new connection is closed unread

Cause: a full node closed each new connection at once, 30,000 a second, although descriptors were freed all the time: new connections may be evicted after 20 ms. The clients that were closed were back at once, so that the accept queue hardly ever had others in it.

Change: Accept waits for a descriptor while no connection in the queue can be older than 100 ms, that is since an accept has blocked. After that it closes connections unread as before, until the queue has been empty. The limit is there because a request's time is counted from its first read.

Tests, on a clock that the test moves: TestAcceptWaitsForADescriptor and TestConnectionsAreClosedUnreadAfterALongWait fail without the change (3 runs of 3), TestWaitForADescriptorEndsWithTheListener guards the drain. -race -count=100 passed beside six busy processes, -race -count=20 of the package; go test of internal/node and cmd/balancer passed.

--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -20,6 +20,7 @@
 
 	readAheadBudget readAheadBudget  // not guarded by mu
 	headMemory      headMemoryBudget // not guarded by mu
+	descriptorFreed chan struct{}    // receives a value when a connection is closed
 	unserved        atomic.Int32     // accepted connections whose goroutine has not run yet
 
 	mu     sync.Mutex
@@ -37,6 +38,7 @@
 func NewConns(clock monotime.Clock, limits Limits, upstreamCount func() int) *Conns {
 	s := &Conns{
 		clock: clock, upstreamCount: upstreamCount, lingerTimeout: defaultLingerTimeout, conns: map[*Conn]struct{}{},
+		descriptorFreed: make(chan struct{}, 1),
 	}
 	s.SetLimits(limits)
 	return s
@@ -106,23 +108,35 @@
 	return s.budget.upstreamAllowance(len(s.conns))
 }
 
-// atHardLimit reports whether one more connection would take a descriptor that is reserved for others, although others
-// were evicted to make room: for this one if they linger, and for the next one if they close later. If so, the caller
-// closes the connection before it reaches net/http, and it is counted as closed unread.
+// HasDescriptor reports whether there is a descriptor for one more connection, after others were evicted to make room.
+func (s *Conns) HasDescriptor() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.makeRoom()
+}
+
+// atHardLimit reports whether one more connection would take a descriptor that is reserved for others. If so, the
+// caller closes the connection before it reaches net/http, and it is counted as closed unread.
 func (s *Conns) atHardLimit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isExhausted() {
-		return false
-	}
-	s.evictExcess()
-	if !s.isExhausted() {
+	if s.makeRoom() {
 		return false
 	}
 	s.counts.ClosedUnread++
 	return true
 }
 
+// makeRoom reports whether there is a descriptor for one more connection. If there is none, it evicts others first: for
+// this one if they linger, and for the next one if they close later. The caller holds s.mu.
+func (s *Conns) makeRoom() bool {
+	if !s.isExhausted() {
+		return true
+	}
+	s.evictExcess()
+	return !s.isExhausted()
+}
+
 func (s *Conns) countFailedAccept() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,6 +185,7 @@
 	}
 	s.setPhase(c, PhaseLingering) // neither active nor being evicted
 	delete(s.conns, c)
+	notify(s.descriptorFreed)
 }
 
 // Count returns the number of connections.
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -36,6 +36,7 @@
 	draining, closed     chan struct{}
 
 	// Used only by Accept.
+	queueEmptyAt     time.Duration // clock time when the accept queue was last empty, as far as known
 	lastBackoff      time.Duration // the last backoff; 0 if the last accept succeeded
 	lastLoggedAt     time.Duration // clock time when a failure was last logged; 0 if none was
 	unloggedFailures int           // failures since then
@@ -70,8 +71,9 @@
 	return l.Listener.Close()
 }
 
-// Accept returns the next connection, or net.ErrClosed. A connection that would exceed the hard limit on
-// descriptors is closed unread, so that the process never runs out of them.
+// Accept returns the next connection, or net.ErrClosed. If there is no descriptor for another one, it waits for a
+// while. A connection that would exceed the hard limit on descriptors is closed unread, so that the process never runs
+// out of them.
 func (l *Listener) Accept() (net.Conn, error) {
 	for !isClosed(l.closed) {
 		draining := isClosed(l.draining)
@@ -81,7 +83,10 @@
 			_ = l.Listener.(deadlineSetter).SetDeadline(time.Now().Add(emptyQueueWait))
 		}
 		l.yieldToAccepted()
+		l.awaitDescriptor()
+		started := l.conns.clock.Now()
 		conn, err := l.Listener.Accept()
+		l.observeAccept(started)
 		switch {
 		case err == nil && l.conns.atHardLimit():
 			conn.Close()
