Close a connection after an invalid request while there are too many connections

Cause: the connection of an invalid request stays open if another request was read after it. Such a connection is in a new phase with each request, so that it can't be evicted, and keeps its descriptor until the whole batch is answered. A request that was read has to be answered, but well-behaved clients send no invalid ones ahead of it.

Change: while there are too many connections, the response to an invalid request closes its connection, as other responses do, also if requests were read after it. With fewer connections nothing changes.

Test: TestInvalidRequestClosesItsConnectionBeyondTheLimit (fails without the change, 2 runs of 2; -race -count=20 passed, with TestRequestsPipelinedAfterAnInvalidOneAreAnswered). go test of internal/node passed.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -91,7 +91,8 @@
 	}
 	req, err := f.readRequest(r, conn, head)
 	if err != nil && !errors.Is(err, errMemoryExhausted) {
-		writeInvalidRequest(w, conn, err)
+		// While there are too many connections, those with many invalid requests are not served to their end.
+		writeInvalidRequest(w, conn, !f.conns.OverLimit(), err)
 		return
 	}
 	keepOpen(w)
--- a/internal/node/invalidpipelined_test.go
+++ b/internal/node/invalidpipelined_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 
+	"basaltdrum/internal/downstream"
 	"basaltdrum/internal/testutil"
 )
 
@@ -52,3 +53,30 @@
 		})
 	}
 }
+
+// While there are too many connections, the response to an invalid request closes its connection, also if others were
+// read after it. Clients with batches of them kept the descriptors of a full node until each batch was answered.
+func TestInvalidRequestClosesItsConnectionBeyondTheLimit(t *testing.T) {
+	t.Parallel()
+	const limit = 4
+	n, _ := startNode(t, testConfig(testutil.CompleteList()), func(n *Node) {
+		limits := downstreamLimits(n.cfg)
+		limits.Descriptors, limits.UpstreamReserve, limits.RejectReserve = 2*limit, limit, 10*limit
+		limits.GracePeriods = downstream.GracePeriods{
+			Lingering: testutil.Timeout, New: testutil.Timeout,
+			PartialRequest: testutil.Timeout, Idle: testutil.Timeout,
+		}
+		n.frontend.conns.SetLimits(limits)
+	})
+	const invalid = "GET /nowhere/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: bad\r\nX-Deadline: 60\r\n\r\n"
+	for range limit {
+		dial(t, n)
+	}
+	testutil.Until(t, "the connections", func() bool { return n.frontend.conns.Count() == limit })
+	client := dial(t, n)
+	io.WriteString(client, invalid+invalid)
+	if response, _ := client.Response(t); response.StatusCode != http.StatusNotFound || !response.Close {
+		t.Errorf("got %d, close %v; want %d, true", response.StatusCode, response.Close, http.StatusNotFound)
+	}
+	testutil.ExpectClosed(t, client.Reader, "the connection after an invalid request")
+}
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -79,12 +79,13 @@
 	w.Write(r.body)
 }
 
-// writeInvalidRequest answers an invalid request and closes its connection. It keeps the connection open if the error
-// is not in the body and a pipelined request was read after it, which would get no response otherwise.
-func writeInvalidRequest(w http.ResponseWriter, conn *downstream.Conn, err error) {
+// writeInvalidRequest answers an invalid request and closes its connection. It keeps the connection open if that is
+// allowed, the error is not in the body and a pipelined request was read after it, which would get no response
+// otherwise.
+func writeInvalidRequest(w http.ResponseWriter, conn *downstream.Conn, mayKeepOpen bool, err error) {
 	var invalid *requestError
 	bodyValid := errors.As(err, &invalid) && !invalid.inBody
-	if bodyValid && conn.HasPipelinedRequest() {
+	if mayKeepOpen && bodyValid && conn.HasPipelinedRequest() {
 		keepOpen(w)
 	}
 	writeInvalid(w, err)
