Start no attempt ahead of a pipelined request whose deadline has passed

Cause: attempts could start until the response was due, 250 ms after the deadline of the request behind.

Change: from that deadline on, requests ahead are rejected without an attempt, which is harmless to retry. An attempt that has started by then has 350 ms in place of 250: half a second less the 150 ms for which the process may be held up.

--- a/internal/node/duetimer.go
+++ b/internal/node/duetimer.go
@@ -3,13 +3,12 @@
 import (
 	"time"
 
-	"basaltdrum/internal/downstream"
 	"basaltdrum/internal/monotime"
 )
 
-// maxLateness is how long after its deadline a request that was sent ahead is answered at the latest. Half a second
-// after it the response counts as lost.
-const maxLateness = 250 * time.Millisecond
+// maxLateness is how long after its deadline a request that was sent ahead is answered, if the process is not held up.
+// Half a second after it the response counts as lost, and the process may be held up for 150 ms.
+const maxLateness = 350 * time.Millisecond
 
 // dueTimer expires when a request has to be answered that a client has sent ahead of the response to its open request.
 // Responses are sent in the order of the requests (RFC 9112, section 9.3.2), so that of the open request is due then,
@@ -19,13 +18,19 @@
 // Only the goroutine that handles the open request uses it.
 type dueTimer struct {
 	clock   monotime.Clock
-	conn    *downstream.Conn
+	conn    pipelinedDeadliner
 	at      time.Duration // clock time for which timer is set
 	timer   *time.Timer   // nil until a request with a deadline has been sent ahead
 	stopped bool
 }
 
-func newDueTimer(clock monotime.Clock, conn *downstream.Conn) *dueTimer {
+// pipelinedDeadliner is a connection that knows the earliest deadline of the requests that its client has sent ahead.
+type pipelinedDeadliner interface {
+	// PipelinedDeadline returns that deadline as a clock time, if there is one.
+	PipelinedDeadline() (at time.Duration, found bool)
+}
+
+func newDueTimer(clock monotime.Clock, conn pipelinedDeadliner) *dueTimer {
 	return &dueTimer{clock: clock, conn: conn}
 }
 
@@ -36,10 +41,11 @@
 	return deadline + maxLateness, found
 }
 
-// hasPassed reports whether the response to the open request is overdue.
-func (d *dueTimer) hasPassed() bool {
-	at, found := d.dueAt()
-	return found && d.clock.Until(at) <= 0
+// isLate reports whether the deadline of a request that has been sent ahead has passed. An attempt of the open request
+// would make its response even later.
+func (d *dueTimer) isLate() bool {
+	deadline, found := d.conn.PipelinedDeadline()
+	return found && d.clock.Until(deadline) <= 0
 }
 
 // update sets the timer by the requests that have been sent ahead by now. It returns the channel of the timer; nil:
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -103,10 +103,10 @@
 	defer req.Memory.Release()
 	// If the client has departed, or its departure could not be detected, no attempt may start: its pipelined requests
 	// are rejected one after another. A client that has only half-closed its connection may read the responses. Neither
-	// may one start if the response to a pipelined request is due, which waits for this one.
+	// may one start if the deadline of a pipelined request has passed, whose response waits for this one.
 	due := newDueTimer(f.clock, conn)
 	defer due.stop()
-	if conn.AwaitCaughtUp() != downstream.Present || due.hasPassed() || !f.conns.AdmitRequest(conn) {
+	if conn.AwaitCaughtUp() != downstream.Present || due.isLate() || !f.conns.AdmitRequest(conn) {
 		f.reject(w, conn)
 		return
 	}
--- a/internal/node/pipelineddeadline_test.go
+++ b/internal/node/pipelineddeadline_test.go
@@ -68,7 +68,7 @@
 	later.Expect(t, http.StatusBadGateway, "")
 	later.Expect(t, http.StatusServiceUnavailable, "")
 	if ids := server.RequestIDs(); slices.Contains(ids, "second") {
-		t.Errorf("the server got %q, want no request that started after the response behind it was due", ids)
+		t.Errorf("the server got %q, want no request that was handled after the deadline of one behind it", ids)
 	}
 }
 
