--- a/internal/node/duetimer_test.go
+++ b/internal/node/duetimer_test.go
@@ -11,7 +11,9 @@
 // fixedDeadline is a connection with one request that was sent ahead, whose deadline is a clock time; 0: with none.
 type fixedDeadline time.Duration
 
-func (d *fixedDeadline) PipelinedDeadline() (at time.Duration, found bool) { return time.Duration(*d), *d > 0 }
+func (d *fixedDeadline) PipelinedDeadline() (at time.Duration, found bool) {
+	return time.Duration(*d), *d > 0
+}
 
 // No attempt starts from the deadline of a request on that was sent ahead, and the response to the open one is due
 // maxLateness after it.
