Count accepts that had to wait for a descriptor in the traffic line

Operators could see that a node closes connections unread, but not that it delays them. The new figure is downstream.accept_delayed.

--- a/internal/downstream/acceptqueue.go
+++ b/internal/downstream/acceptqueue.go
@@ -27,12 +27,17 @@
 // one were closed unread at once, its client might meet the same on the next one, and the clients that take up the
 // descriptors would connect again as fast as they are closed.
 func (l *Listener) awaitDescriptor() {
+	delayed := false
 	for !l.conns.HasDescriptor() && !isClosed(l.draining) && !isClosed(l.closed) {
 		if l.conns.clock.Now()-l.queueEmptyAt >= maxQueueAge {
-			return
+			break
 		}
+		delayed = true
 		l.awaitClose()
 	}
+	if delayed {
+		l.conns.countDelayedAccept()
+	}
 }
 
 // awaitClose waits until a connection is closed, for descriptorCheckInterval at most.
--- a/internal/downstream/acceptqueue_test.go
+++ b/internal/downstream/acceptqueue_test.go
@@ -83,8 +83,8 @@
 	if err := testutil.Wait(t, result, "the connection"); err != nil {
 		t.Fatal(err)
 	}
-	if got := f.closedUnread(); got != 0 {
-		t.Errorf("%d connections were closed unread, want none", got)
+	if counts, _, _ := f.conns.TakeCounts(); counts.ClosedUnread != 0 || counts.AcceptDelayed != 1 {
+		t.Errorf("got %+v, want one delayed accept and no connection closed unread", counts)
 	}
 }
 
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -30,8 +30,8 @@
 }
 
 // Counts holds the counters for the log: connections accepted, failed accepts, connections evicted, requests rejected
-// for lack of descriptors, and connections closed unread at the hard limit.
-type Counts struct{ Accepted, AcceptFailed, Evicted, Rejected, ClosedUnread int }
+// for lack of descriptors, waits for a descriptor before an accept, and connections closed unread at the hard limit.
+type Counts struct{ Accepted, AcceptFailed, Evicted, Rejected, AcceptDelayed, ClosedUnread int }
 
 // NewConns returns an empty set. upstreamCount returns the number of upstream connections; it is called
 // while the set's lock is held.
@@ -137,6 +137,12 @@
 	return !s.isExhausted()
 }
 
+func (s *Conns) countDelayedAccept() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.AcceptDelayed++
+}
+
 func (s *Conns) countFailedAccept() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,7 +123,7 @@
 	return []any{
 		slog.Group("downstream", "open", open, "being_evicted", evicting, "accepted", counts.Accepted,
 			"accept_failed", counts.AcceptFailed, "evicted", counts.Evicted, "over_capacity", counts.Rejected,
-			"closed_unread", counts.ClosedUnread),
+			"accept_delayed", counts.AcceptDelayed, "closed_unread", counts.ClosedUnread),
 		slog.Group("upstream", "open", n.upstream.Stats().Open),
 		slog.Group("memory", "requests", memory.Requests, "bytes", memory.Bytes, "responses", memory.Responses,
 			"rejected", memory.Rejected),
