Count requests that are answered early for one behind them in the traffic line

Such a request is rejected or failed before its deadline, which could not be told from shed load in the log. The new figure is requests.answered_early. Requests that are rejected without reaching the module are not in it.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -226,6 +226,7 @@
 	case p.hasDeparted():
 		l.respondUnserved(p, p.departedResponse())
 	default:
+		l.traffic.AnsweredEarly++
 		l.passToModule(e.at, balancer.ResponseDue{ID: e.request.ID})
 	}
 }
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -113,3 +113,26 @@
 			runtime.NumGoroutine() <= before+5
 	})
 }
+
+// A request whose response is due is answered once, and counted in the traffic line. An event about another request
+// with the same ID changes nothing.
+func TestRequestWhoseResponseIsDueIsAnsweredOnce(t *testing.T) {
+	loop := newSimulatedLoop(t, true)
+	now := loop.clock.Now()
+	received, responses := NewRequestEvent("r", "view", now, now+testutil.Timeout)
+	other, _ := NewRequestEvent("r", "view", now, now+testutil.Timeout)
+	loop.handleEvent(received)
+	loop.handleEvent(responseDue{request: other.(requestReceived).request, at: now})
+	if len(responses) > 0 || loop.traffic.AnsweredEarly > 0 {
+		t.Fatalf("got %d responses and a count of %d, want neither yet", len(responses), loop.traffic.AnsweredEarly)
+	}
+	for range 2 {
+		loop.handleEvent(responseDue{request: received.(requestReceived).request, at: now})
+	}
+	if got := testutil.Wait(t, responses, "the response"); got.Kind != ResponseRejected {
+		t.Errorf("got a response that is %v, want %v", got.Kind, ResponseRejected)
+	}
+	if len(responses) > 0 || loop.traffic.AnsweredEarly != 1 {
+		t.Errorf("got %d more responses and a count of %d, want 0 and 1", len(responses), loop.traffic.AnsweredEarly)
+	}
+}
--- a/internal/node/trafficlog.go
+++ b/internal/node/trafficlog.go
@@ -20,6 +20,7 @@
 	Rejected        int // requests answered with status 503
 	Failed          int // requests answered with status 502
 	Departed        int // requests whose client has closed its connection or may have closed it
+	AnsweredEarly   int // requests answered before their deadline for one that was sent ahead
 	AttemptsStarted int
 	AttemptResults  [attemptResultCount]int
 	MaxLag          time.Duration // longest time from an event to its handling
@@ -61,7 +62,8 @@
 	results := counts.AttemptResults
 	t.log.With(t.connectionStats()...).Info("traffic",
 		slog.Group("requests", "received", counts.Requests, "served", counts.Served, "rejected", counts.Rejected,
-			"failed", counts.Failed, "departed", counts.Departed, "pending", pending),
+			"failed", counts.Failed, "departed", counts.Departed, "answered_early", counts.AnsweredEarly,
+			"pending", pending),
 		slog.Group("attempts", "started", counts.AttemptsStarted, "success", results[balancer.Success],
 			"server_error", results[balancer.ServerError], "rejected", results[balancer.Rejected],
 			"timed_out", results[balancer.TimedOut], "connect_failed", results[balancer.ConnectFailed],
