Keep two names inside their packages that nothing else uses

Conns.hasDescriptor and http1's maxDeadline were exported. No change of behaviour; go test of internal/downstream, internal/http1, internal/node and docs passed.

--- a/internal/downstream/acceptqueue.go
+++ b/internal/downstream/acceptqueue.go
@@ -28,7 +28,7 @@
 // descriptors would connect again as fast as they are closed.
 func (l *Listener) awaitDescriptor() {
 	delayed := false
-	for !l.conns.HasDescriptor() && !isClosed(l.draining) && !isClosed(l.closed) {
+	for !l.conns.hasDescriptor() && !isClosed(l.draining) && !isClosed(l.closed) {
 		if l.conns.clock.Now()-l.queueEmptyAt >= maxQueueAge {
 			break
 		}
--- a/internal/downstream/conns.go
+++ b/internal/downstream/conns.go
@@ -108,8 +108,8 @@
 	return s.budget.upstreamAllowance(len(s.conns))
 }
 
-// HasDescriptor reports whether there is a descriptor for one more connection, after others were evicted to make room.
-func (s *Conns) HasDescriptor() bool {
+// hasDescriptor reports whether there is a descriptor for one more connection, after others were evicted to make room.
+func (s *Conns) hasDescriptor() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.makeRoom()
--- a/internal/http1/deadline.go
+++ b/internal/http1/deadline.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// MaxDeadline is the maximum value of X-Deadline.
-const MaxDeadline = time.Hour
+// maxDeadline is the maximum value of X-Deadline.
+const maxDeadline = time.Hour
 
 // Errors of ParseDeadline.
 var (
@@ -25,7 +25,7 @@
 		return 0, ErrDeadlineMalformed
 	}
 	seconds, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(seconds > 0 && seconds <= MaxDeadline.Seconds()) {
+	if err != nil || !(seconds > 0 && seconds <= maxDeadline.Seconds()) {
 		return 0, ErrDeadlineOutOfRange
 	}
 	return time.Duration(math.Round(seconds * 1e9)), nil
