--- a/cmd/balancer/headmemory_test.go
+++ b/cmd/balancer/headmemory_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"time"
 
 	"basaltdrum/internal/http1"
+	"basaltdrum/internal/testutil"
 )
 
 const (
@@ -95,11 +95,7 @@
 	if !p.alive() {
 		t.Fatalf("the node has ended:\n%s", p.logText())
 	}
-	peak, mappedFiles := peakMemoryKB(t, p.cmd.Process.Pid)
-	if peak-mappedFiles > memoryMB<<10 {
-		t.Errorf("the node used %d kB, its limit is %d kB", peak-mappedFiles, memoryMB<<10)
-	}
-	t.Logf("at most %d of %d kB, and %d of mapped files", peak-mappedFiles, memoryMB<<10, mappedFiles)
+	checkMemory(t, p, memoryMB)
 }
 
 // TestResponseHeadsStayWithinTheMemoryLimit is the same for servers, all of which send heads with short fields and no
@@ -109,10 +105,7 @@
 	build(t)
 	var arrived, closed atomic.Int64
 	allArrived := make(chan struct{})
-	entry := newRawServer(t, func(conn net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
+	server := testutil.NewServer(t, func(conn net.Conn, _ *http.Request, _ string) bool {
 		if arrived.Add(1) == clients {
 			close(allArrived)
 		}
@@ -120,17 +113,14 @@
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+repeatTo(http1.MaxHeaderBytes-20, "%s:\r\n"))
 		io.Copy(io.Discard, conn)
 		closed.Add(1)
+		return false
 	})
 	var entries []string
 	for i := range clients {
-		entries = append(entries, strings.Replace(entry, `"uid":""`, fmt.Sprintf(`"uid":"s-%d"`, i), 1))
+		entries = append(entries, listEntry(fmt.Sprint("s-", i), server.Address()))
 	}
 	p := launch(t, memoryConfig(memoryMB, sockets, entries), sockets)
 	address := p.address(t)
-	anonymousKB := func() int {
-		peak, mappedFiles := peakMemoryKB(t, p.cmd.Process.Pid)
-		return peak - mappedFiles
-	}
 	for number := range clients {
 		conn, err := net.Dial("tcp", address)
 		if err != nil {
@@ -140,33 +130,8 @@
 		fmt.Fprintf(conn, requestStart+"\r\n", number)
 	}
 	eventually(t, "the node to give up each response, or to exceed its limit", func() bool {
-		return closed.Load() >= clients || anonymousKB() > memoryMB<<10
+		peak, mappedFiles := peakMemoryKB(t, p.cmd.Process.Pid)
+		return closed.Load() >= clients || peak-mappedFiles > memoryMB<<10
 	})
-	if used := anonymousKB(); used > memoryMB<<10 {
-		t.Errorf("the node used %d kB, its limit is %d kB", used, memoryMB<<10)
-	}
-	t.Logf("at most %d of %d kB", anonymousKB(), memoryMB<<10)
-}
-
-// newRawServer starts a server that handles each connection with a function, and returns its entry in a list.
-func newRawServer(t *testing.T, handle func(net.Conn)) (entry string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn)
-			}()
-		}
-	}()
-	return listEntry("", listener.Addr().String())
+	checkMemory(t, p, memoryMB)
 }
--- a/cmd/balancer/memory_test.go
+++ b/cmd/balancer/memory_test.go
@@ -57,12 +57,19 @@
 	if l.served.Load() == 0 || allServed && l.refused.Load() > 0 {
 		t.Errorf("%d of %d requests were refused", l.refused.Load(), clients)
 	}
+	t.Logf("%d served, %d refused", l.served.Load(), l.refused.Load())
+	checkMemory(t, p, memoryMB)
+}
+
+// checkMemory checks that a node has stayed within its memory limit. The pages of mapped files, such as the program,
+// do not count, as they can be read again.
+func checkMemory(t *testing.T, p *process, memoryMB int) {
+	t.Helper()
 	peak, mappedFiles := peakMemoryKB(t, p.cmd.Process.Pid)
 	if peak-mappedFiles > memoryMB<<10 {
 		t.Errorf("the node used %d kB, its limit is %d kB", peak-mappedFiles, memoryMB<<10)
 	}
-	t.Logf("%d served, %d refused, at most %d of %d kB, and %d of mapped files",
-		l.served.Load(), l.refused.Load(), peak-mappedFiles, memoryMB<<10, mappedFiles)
+	t.Logf("at most %d of %d kB, and %d of mapped files", peak-mappedFiles, memoryMB<<10, mappedFiles)
 }
 
 // BenchmarkLongRequests measures the highest memory of a node, and how many requests it serves, at each pair of memory
--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -245,10 +245,7 @@
 		f := n.frontend
 		f.server.ReadTimeout = 2 * testutil.Timeout // only eviction ends a read
 		limits := downstreamLimits(cfg)
-		limits.GracePeriods = downstream.GracePeriods{
-			Lingering: testutil.Timeout, New: testutil.Timeout,
-			PartialRequest: testutil.Timeout, Idle: testutil.Timeout,
-		}
+		limits.GracePeriods = evictNothing
 		f.conns.SetLimits(limits)
 		limits.GracePeriods = downstream.GracePeriods{Lingering: testutil.Timeout, Idle: testutil.Timeout}
 		tightenLimits := func() { f.conns.SetLimits(limits) }
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -55,15 +55,23 @@
 
 // withLongObjectives returns a configuration whose attempts do not time out while a test waits for something else to
 // end them.
-func withLongObjectives(cfg Config) Config {
+func withLongObjectives(cfg Config) Config { return withObjectives(cfg, 2*testutil.Timeout) }
+
+// withObjectives returns a configuration in which all classes have the same latency objective.
+func withObjectives(cfg Config, objective time.Duration) Config {
 	return withClasses(cfg, func(classes []balancer.Class) []balancer.Class {
 		for i := range classes {
-			classes[i].LatencyObjective = 2 * testutil.Timeout
+			classes[i].LatencyObjective = objective
 		}
 		return classes
 	})
 }
 
+// evictNothing are grace periods that do not end while a test runs.
+var evictNothing = downstream.GracePeriods{
+	Lingering: testutil.Timeout, New: testutil.Timeout, PartialRequest: testutil.Timeout, Idle: testutil.Timeout,
+}
+
 // withClasses returns a configuration with changed classes.
 func withClasses(cfg Config, change func(classes []balancer.Class) []balancer.Class) Config {
 	cfg.Settings.Classes = change(slices.Clone(cfg.Settings.Classes))
--- a/internal/node/invalidpipelined_test.go
+++ b/internal/node/invalidpipelined_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"testing"
 
-	"basaltdrum/internal/downstream"
 	"basaltdrum/internal/testutil"
 )
 
@@ -62,10 +61,7 @@
 	n, _ := startNode(t, testConfig(testutil.CompleteList()), func(n *Node) {
 		limits := downstreamLimits(n.cfg)
 		limits.Descriptors, limits.UpstreamReserve, limits.RejectReserve = 2*limit, limit, 10*limit
-		limits.GracePeriods = downstream.GracePeriods{
-			Lingering: testutil.Timeout, New: testutil.Timeout,
-			PartialRequest: testutil.Timeout, Idle: testutil.Timeout,
-		}
+		limits.GracePeriods = evictNothing
 		n.frontend.conns.SetLimits(limits)
 	})
 	const invalid = "GET /nowhere/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: bad\r\nX-Deadline: 60\r\n\r\n"
--- a/internal/node/pipelineddeadline_test.go
+++ b/internal/node/pipelineddeadline_test.go
@@ -8,25 +8,17 @@
 	"slices"
 	"testing"
 
-	"basaltdrum/balancer"
 	"basaltdrum/internal/testutil"
 )
 
-// X-Deadlines of requests, in seconds. Clients of these tests wait for less time than the long one.
 const (
+	// X-Deadlines of requests, in seconds. Clients of these tests wait for less time than the long one.
 	shortDeadline = "0.1"
 	longDeadline  = "120"
-)
 
-// withLongestObjectives returns a configuration whose attempts last until longDeadline.
-func withLongestObjectives(cfg Config) Config {
-	return withClasses(cfg, func(classes []balancer.Class) []balancer.Class {
-		for i := range classes {
-			classes[i].LatencyObjective = 4 * testutil.Timeout
-		}
-		return classes
-	})
-}
+	// longestObjective lets attempts last until longDeadline.
+	longestObjective = 4 * testutil.Timeout
+)
 
 // A request that is sent ahead is answered in time although those before it have a later deadline and never get a
 // response from their server. A request with 1.5 s was answered after 2.35 s, behind nine with 6 s.
@@ -48,7 +40,7 @@
 		io.Copy(io.Discard, conn) // returns when the node closes the connection
 		return false
 	})
-	cfg := withLongestObjectives(configWithServers(server))
+	cfg := withObjectives(configWithServers(server), longestObjective)
 	cfg.Settings.AllowCancel = mayCancel
 	n, _ := startNode(t, cfg, nil)
 
@@ -77,7 +69,7 @@
 func TestRequestAfterADueOneIsServed(t *testing.T) {
 	t.Parallel()
 	server, received, release := testutil.NewHoldingServer(t, "held")
-	n, _ := startNode(t, withLongestObjectives(configWithServers(server)), nil)
+	n, _ := startNode(t, withObjectives(configWithServers(server), longestObjective), nil)
 	client := dial(t, n)
 	client.Send("POST", "/note/k", "held", "x", longDeadline)
 	testutil.Wait(t, received, "the attempt")
