Let two handlers of the event loop share the check that a request is unanswered

handleDeparture and answerNow had the same condition: the request is pending, it is not another one with its ID, and it has no response. It is Loop.unanswered now. No change of behaviour; tests of both passed with -race.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -187,13 +187,22 @@
 	})
 }
 
+// unanswered returns what is pending of a request, or nil if it is answered or its ID belongs to another request.
+func (l *Loop) unanswered(req *request) *pendingRequest {
+	p := l.pending[req.ID]
+	if p == nil || p.request != req || p.answered {
+		return nil
+	}
+	return p
+}
+
 // handleDeparture stops retries for a client that has closed its connection or may have closed it. The module is told
 // once per request. A half-closed client may still read the response of an attempt that may have been written, so such
 // an attempt continues until the client is known to have disconnected.
 func (l *Loop) handleDeparture(e clientDeparted) {
 	l.recordLag(e.at)
-	p := l.pending[e.request.ID]
-	if p == nil || p.request != e.request || p.answered {
+	p := l.unanswered(e.request)
+	if p == nil {
 		return
 	}
 	if first := p.recordDeparture(e.departure, e.retryAfter); first {
@@ -220,9 +229,9 @@
 // that has departed.
 func (l *Loop) answerNow(e responseDue) {
 	l.recordLag(e.at)
-	p := l.pending[e.request.ID]
+	p := l.unanswered(e.request)
 	switch {
-	case p == nil || p.request != e.request || p.answered:
+	case p == nil:
 	case p.hasDeparted():
 		l.respondUnserved(p, p.departedResponse())
 	default:
