Lock a connection once before a read of net/http, not three times

The limit on heads and the check for a cut-off had each taken the lock that startRead takes, too, before every read. Both are part of startRead now.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -77,11 +77,9 @@
 	if n := c.takeReadAhead(p); n > 0 {
 		return n, nil
 	}
-	c.limitHeadMemory()
-	if err := c.cutOff(); err != nil {
+	if err := c.startRead(); err != nil {
 		return 0, err
 	}
-	c.startRead()
 	n, err := c.Conn.Read(p)
 	accepted := c.scan(p[:n])
 	c.recordReadResult(n, err)
@@ -121,10 +119,8 @@
 }
 
 // limitHeadMemory rejects an incomplete head before more of it is read, if all heads together hold too much memory and
-// this one is longer than those of most clients.
+// this one is longer than those of most clients. The caller holds c.mu.
 func (c *Conn) limitHeadMemory() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.headMemory > unlimitedHeadMemory && c.conns.headMemory.isExceeded() {
 		c.requests.RejectHead()
 	}
@@ -177,11 +173,16 @@
 
 // startRead prepares a read of net/http. It sets the read timeout for the rest of a request once the request has
 // started. The timeouts of net/http are not suitable: it waits for a request's first four bytes as long as for an idle
-// connection, and counts the time of a connection's first request from the start of the connection.
-func (c *Conn) startRead() {
+// connection, and counts the time of a connection's first request from the start of the connection. startRead returns
+// the error because of which net/http may not get more of what the client has sent, or nil.
+func (c *Conn) startRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.markServed()
+	c.limitHeadMemory()
+	if err := c.requests.CutOff(); err != nil {
+		return err
+	}
 	midRequest := c.requests.MidRequest()
 	if c.readTimeout > 0 && midRequest {
 		c.deadline.startRequest(c.readTimeout)
@@ -189,6 +190,7 @@
 	if !midRequest && !c.requests.HasPipelinedRequest() {
 		c.requestAwaited = true
 	}
+	return nil
 }
 
 // startRequest records that net/http has read a request's head.
