--- a/internal/endpointlist/handover.go
+++ b/internal/endpointlist/handover.go
@@ -11,13 +11,13 @@
 
 // Durations of a handover, from its start.
 const (
-	// ReturnDelay is how long an endpoint that drains or was removed stays so although it is listed as ready. Whatever
+	// returnDelay is how long an endpoint that drains or was removed stays so although it is listed as ready. Whatever
 	// a new address has to tell counts as known to the node by then, whenever its list arrives.
-	ReturnDelay = 4 * time.Second
+	returnDelay = 4 * time.Second
 
-	// AbsenceDelay is how long an endpoint is kept that an older list does not name, if others are ready by then. It is
+	// absenceDelay is how long an endpoint is kept that an older list does not name, if others are ready by then. It is
 	// shorter, as such an endpoint must not be used any more once the list counts as known.
-	AbsenceDelay = ReturnDelay - 500*time.Millisecond
+	absenceDelay = returnDelay - 500*time.Millisecond
 )
 
 // handoverPhase is the part of what a new address lists that is in force.
@@ -34,8 +34,8 @@
 //
 // What endpoints do not do by themselves is the sign of an older list: a process that drains or was removed does not
 // return, and an endpoint does not become one of its earlier processes. Such entries are not in force before
-// ReturnDelay. An endpoint that a list with such entries does not name may have been added since, and is kept until
-// AbsenceDelay, or until ReturnDelay if no other is ready. Everything else is in force at once, and after ReturnDelay
+// returnDelay. An endpoint that a list with such entries does not name may have been added since, and is kept until
+// absenceDelay, or until returnDelay if no other is ready. Everything else is in force at once, and after returnDelay
 // the list of the new address as it is, also if it arrives only then.
 //
 // It must be used by the goroutine of its Table only.
@@ -56,9 +56,9 @@
 func (h *Handover) Start() {
 	now := h.now()
 	if h.phase != keepingAbsent || h.listed == nil {
-		h.absenceAt, h.listed = now+AbsenceDelay, nil
+		h.absenceAt, h.listed = now+absenceDelay, nil
 	}
-	h.phase, h.returnAt = keepingAbsent, now+ReturnDelay
+	h.phase, h.returnAt = keepingAbsent, now+returnDelay
 }
 
 func (h *Handover) now() time.Duration { return h.table.clock.clock.Now() }
--- a/internal/endpointlist/handover_test.go
+++ b/internal/endpointlist/handover_test.go
@@ -74,7 +74,7 @@
 			h.receive(true, draining("s1"), bootedAt(ready("s3"), 5), ready("s4"))
 		},
 	} {
-		for _, moveAfter := range []time.Duration{0, time.Second, removalMemory - ReturnDelay} {
+		for _, moveAfter := range []time.Duration{0, time.Second, removalMemory - returnDelay} {
 			h := newHandoverTest()
 			older := []Entry{ready("s1"), ready("s2"), bootedAt(ready("s3"), 4), ready("s4")}
 			h.receive(true, older...)
@@ -87,7 +87,7 @@
 			}{
 				{"the whole older list", func() { h.receive(true, older...) }},
 				{"older changes", func() { h.receive(false, older[:2]...) }},
-				{"3.4 s", func() { h.advance(AbsenceDelay - 100*time.Millisecond) }},
+				{"3.4 s", func() { h.advance(absenceDelay - 100*time.Millisecond) }},
 				{"3.9 s", func() { h.advance(400 * time.Millisecond) }},
 				{"the current list", func() { h.receive(true, draining("s1"), bootedAt(ready("s3"), 5), ready("s4")) }},
 				{"5 s", func() { h.advance(time.Second) }},
@@ -107,7 +107,7 @@
 // however it numbers its lists. What it removes is removed half a second earlier.
 func TestNewAddressIsInForceAfterTheHandover(t *testing.T) {
 	for _, arrival := range []time.Duration{
-		0, time.Second, AbsenceDelay, ReturnDelay - 1, ReturnDelay, 10 * time.Second,
+		0, time.Second, absenceDelay, returnDelay - 1, returnDelay, 10 * time.Second,
 	} {
 		h := newHandoverTest()
 		h.receive(true, ready("s1"), draining("s2"), ready("s3"))
@@ -116,13 +116,13 @@
 		h.advance(arrival)
 		h.receive(true, ready("s2"), ready("s3"), ready("s4")) // s1 was removed; s2 and s3 are in service again
 		when := fmt.Sprintf("list after %v", arrival)
-		if arrival < AbsenceDelay {
+		if arrival < absenceDelay {
 			h.expect(t, when, "s1", "s2-", "s4")
-			h.advance(AbsenceDelay - arrival)
+			h.advance(absenceDelay - arrival)
 		}
-		if arrival < ReturnDelay {
+		if arrival < returnDelay {
 			h.expect(t, when+", 3.5 s", "s2-", "s4")
-			h.advance(ReturnDelay - 1 - max(arrival, AbsenceDelay))
+			h.advance(returnDelay - 1 - max(arrival, absenceDelay))
 			h.expect(t, when+", just before 4 s", "s2-", "s4")
 			h.advance(1)
 		}
@@ -145,7 +145,7 @@
 	h.Start()
 	h.receive(true, ready("s1"), ready("s2"))
 	h.expect(t, "an older list", "s1-", "s3")
-	h.advance(ReturnDelay - 1)
+	h.advance(returnDelay - 1)
 	h.expect(t, "just before 4 s", "s1-", "s3")
 	h.advance(1)
 	h.expect(t, "4 s", "s1", "s2")
@@ -166,7 +166,7 @@
 		draining("s5"), bootedAt(ready("s6"), recently), bootedAt(ready("s7"), longAgo),
 		bootedAt(ready("s8"), recently))
 	h.expect(t, "the new address", "s1-", "s2-", "s3-", "s4-", "s5", "s6", "s8")
-	h.advance(ReturnDelay)
+	h.advance(returnDelay)
 	h.expect(t, "4 s", "s1-", "s2-", "s3", "s4", "s5-", "s6", "s7", "s8")
 }
 
@@ -208,9 +208,9 @@
 		} else {
 			h.expect(t, "2 s", "s1", "s2-", "s3")
 		}
-		h.advance(AbsenceDelay - 2*time.Second)
+		h.advance(absenceDelay - 2*time.Second)
 		h.expect(t, fmt.Sprint("3.5 s, listed again ", listsAgain), want...)
-		h.advance(ReturnDelay - AbsenceDelay + time.Second)
+		h.advance(returnDelay - absenceDelay + time.Second)
 		h.expect(t, fmt.Sprint("5 s, listed again ", listsAgain), want...)
 	}
 }
